--- /dev/null
+++ b/agent/cmd/agent.go
@@ -0,0 +1,177 @@
+// Package cmd is the command line of the agent.
+package cmd
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/coltsfootline/coltsfootline/agent/caller"
+	"github.com/coltsfootline/coltsfootline/agent/target"
+	"github.com/coltsfootline/coltsfootline/kernel/command"
+	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
+	"github.com/coltsfootline/coltsfootline/kernel/peer"
+	"github.com/coltsfootline/coltsfootline/kernel/process"
+	"github.com/coltsfootline/coltsfootline/kernel/services"
+	"github.com/coltsfootline/coltsfootline/kernel/table"
+)
+
+const (
+	socketBufferBytes = 8 << 20
+	leaveLinger       = 2 * time.Second
+)
+
+// Main runs the agent's command line and returns the exit code.
+func Main(arguments []string, out, errorOut io.Writer) int {
+	p := &command.Program[*Settings]{
+		Name:  "agent",
+		Short: "Hold callers' connections beside a target",
+		Long: "The agent ends callers' TCP connections beside one target, gives their requests to it, no more at\n" +
+			"once than it has slots, and moves the connections to other agents when its target is retired.",
+		NewSettings: defaults,
+		Run:         run,
+		Checks:      checks,
+	}
+	return command.Execute(p.Root(), arguments, out, errorOut)
+}
+
+func checks(s *Settings) []command.Check {
+	all := []command.Check{
+		command.CanListenUDP("packets", s.Packets),
+		command.CanListenTCP("control", s.Control),
+		command.CanListenTCP("admin", s.Admin),
+		command.CanConnect("target", s.targetURL().Host),
+	}
+	for _, e := range s.Entries {
+		all = append(all, command.CanConnect("entry", e.String()))
+	}
+	return all
+}
+
+func run(ctx context.Context, s *Settings, logs io.Writer) error {
+	builder, err := table.Builders.Get(s.Table)
+	if err != nil {
+		return err
+	}
+	logger := events.NewLogger(logs, s.Log, s.Instance)
+	a := &agent{
+		settings: s,
+		builder:  builder,
+		process:  &process.Process{Admin: s.Admin, Pprof: s.Pprof, Logger: logger},
+		pool:     &peer.Pool{},
+	}
+	return a.process.Run(ctx, a.serve)
+}
+
+// agent joins the parts of the program.
+type agent struct {
+	settings   *Settings
+	builder    table.Builder
+	process    *process.Process
+	pool       *peer.Pool
+	dispatcher *target.Dispatcher
+	terminator *caller.Terminator
+	spread     *peer.Spread
+	routes     *services.Routes
+	lifetime   context.Context
+	drainAsked chan struct{}
+}
+
+func (a *agent) self() facts.Member {
+	return facts.Member{
+		Instance:   a.settings.Instance,
+		Role:       facts.RoleAgent,
+		DataCentre: a.settings.DataCentre,
+		Service:    a.settings.Service,
+		Packets:    a.settings.Packets,
+		Control:    a.settings.Control,
+		State:      facts.StateServing,
+	}
+}
+
+// serve runs until ctx ends, then drains; the parts live until the drain is over.
+func (a *agent) serve(ctx context.Context) error {
+	lifetime, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	a.lifetime = lifetime
+	a.drainAsked = make(chan struct{}, 1)
+	defer a.pool.Close()
+	if err := a.start(lifetime); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-a.drainAsked:
+	}
+	a.drain(lifetime)
+	return nil
+}
+
+func (a *agent) start(ctx context.Context) error {
+	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a.settings.Packets))
+	if err != nil {
+		return errors.WithStack(&process.ListenError{Address: a.settings.Packets.String(), Cause: err})
+	}
+	_ = socket.SetReadBuffer(socketBufferBytes)
+	_ = socket.SetWriteBuffer(socketBufferBytes)
+	context.AfterFunc(ctx, func() { _ = socket.Close() })
+	a.dispatcher = &target.Dispatcher{
+		Target:   a.settings.targetURL(),
+		Slots:    &target.Slots{Count: a.settings.Slots, Queue: a.settings.Queue},
+		Counters: target.NewCounters(metrics.GetDefaultSet()),
+		Logger:   a.process.Logger,
+	}
+	a.terminator = &caller.Terminator{
+		Self:      a.self(),
+		Fabric:    a.settings.Fabric,
+		Keys:      caller.Keys{Hash: a.settings.HashKey, Packet: a.settings.PacketKey},
+		KeepAlive: a.settings.KeepAlive,
+		Handler:   a.dispatcher,
+		Peers:     a.pool,
+		Socket:    socket,
+		Counters:  caller.NewCounters(metrics.GetDefaultSet()),
+		Logger:    a.process.Logger,
+	}
+	a.terminator.Start(ctx)
+	a.spread = &peer.Spread{
+		Self:        a.self(),
+		Incarnation: uint64(time.Now().UnixNano()),
+		Seeds:       a.settings.Entries,
+		Pool:        a.pool,
+		Logger:      a.process.Logger,
+		OnChange:    a.onChange,
+	}
+	a.spread.Start(ctx)
+	server := &peer.Server{Address: a.settings.Control, Handlers: a.handlers(), Logger: a.process.Logger}
+	return server.Start(ctx)
+}
+
+// onChange runs on the control thread.
+func (a *agent) onChange(now time.Time, v *peer.View) {
+	service, ok := v.Services.Find(a.settings.Service)
+	if !ok {
+		return
+	}
+	own := services.List{Services: []services.Service{service}}
+	a.routes = services.Build(own, v.Members, a.builder, a.routes)
+	route := a.routes.Find(gue.EndpointOf(service.Address))
+	if err := a.terminator.SetRoute(a.lifetime, now, route); err != nil {
+		events.StackRefused.Log(a.process.Logger, events.Failure(err))
+		return
+	}
+	a.process.SetReady(true)
+}
+
+func (a *agent) drain(ctx context.Context) {
+	a.process.SetReady(false)
+	a.spread.Do(ctx, func(now time.Time) { a.spread.SetState(now, facts.StateDraining) })
+	a.terminator.Drain(ctx, a.settings.Drain, a.dispatcher.Refuse)
+	a.spread.Do(ctx, func(now time.Time) { a.spread.SetState(now, facts.StateLeft) })
+	time.Sleep(leaveLinger)
+}
--- /dev/null
+++ b/agent/cmd/settings.go
@@ -0,0 +1,86 @@
+package cmd
+
+import (
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/coltsfootline/coltsfootline/agent/caller"
+	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
+	"github.com/coltsfootline/coltsfootline/kernel/settings"
+	"github.com/coltsfootline/coltsfootline/kernel/tcpstack"
+)
+
+const (
+	maxSlots = 10000
+	maxQueue = 1000000
+)
+
+// Settings is the agent's settings file.
+type Settings struct {
+	Instance   string             `yaml:"instance"`
+	DataCentre string             `yaml:"dataCentre"`
+	Service    string             `yaml:"service"`
+	Packets    netip.AddrPort     `yaml:"packets"`
+	Control    netip.AddrPort     `yaml:"control"`
+	Admin      netip.AddrPort     `yaml:"admin"`
+	Fabric     netip.AddrPort     `yaml:"fabric"`
+	Entries    []netip.AddrPort   `yaml:"entries"`
+	Target     string             `yaml:"target"`
+	Slots      int                `yaml:"slots"`
+	Queue      int                `yaml:"queue"`
+	HashKey    gue.Key            `yaml:"hashKey"`
+	PacketKey  gue.Key            `yaml:"packetKey"`
+	Table      string             `yaml:"table"`
+	KeepAlive  tcpstack.KeepAlive `yaml:"keepAlive"`
+	Drain      caller.DrainLimits `yaml:"drain"`
+	Pprof      bool               `yaml:"pprof"`
+	Log        events.Options     `yaml:"log"`
+}
+
+// Validate returns every fault of the settings.
+func (s *Settings) Validate() []settings.Fault {
+	var f settings.Faults
+	f.Require(s.Instance != "", "instance", "a name")
+	f.Require(s.DataCentre != "", "dataCentre", "a name")
+	f.Require(s.Service != "", "service", "the name of a service")
+	f.Address(s.Packets, "packets")
+	f.Address(s.Control, "control")
+	f.Address(s.Admin, "admin")
+	f.Address(s.Fabric, "fabric")
+	f.Distinct(map[string]netip.AddrPort{"control": s.Control, "admin": s.Admin}, "control", "admin")
+	f.Distinct(map[string]netip.AddrPort{"packets": s.Packets, "fabric": s.Fabric}, "packets", "fabric")
+	f.Require(len(s.Entries) > 0, "entries", "at least one control address of an entry")
+	f.Peers(s.Entries, s.Control, "entries")
+	f.URL(s.Target, "target")
+	f.Between(s.Slots, 1, maxSlots, "slots")
+	f.Between(s.Queue, 0, maxQueue, "queue")
+	f.Require(s.HashKey != gue.Key{}, "hashKey", "32 hexadecimal digits, not all zero")
+	f.Require(s.PacketKey != gue.Key{}, "packetKey", "32 hexadecimal digits, not all zero")
+	f.Require(s.KeepAlive.Idle >= time.Second, "keepAlive.idle", "a duration of 1s or more")
+	f.Require(s.KeepAlive.Interval >= time.Second, "keepAlive.interval", "a duration of 1s or more")
+	f.Between(s.KeepAlive.Count, 1, 100, "keepAlive.count")
+	f.Require(s.Drain.Grace >= 0, "drain.grace", "a duration of 0s or more")
+	f.Require(s.Drain.Limit > s.Drain.Grace, "drain.limit", "a duration above drain.grace")
+	f.LogFormat(s.Log.Format, "log.format")
+	return f
+}
+
+func (s *Settings) targetURL() *url.URL {
+	u, err := url.Parse(s.Target)
+	if err != nil {
+		return &url.URL{}
+	}
+	return u
+}
+
+func defaults() *Settings {
+	return &Settings{
+		Slots:     4,
+		Queue:     10000,
+		Table:     "rendezvous",
+		KeepAlive: tcpstack.KeepAlive{Idle: 15 * time.Second, Interval: 5 * time.Second, Count: 3},
+		Drain:     caller.DrainLimits{Grace: 3 * time.Second, Limit: 60 * time.Second},
+	}
+}
--- /dev/null
+++ b/coltsfootline/cmd/drainCmd.go
@@ -0,0 +1,89 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/coltsfootline/coltsfootline/kernel/command"
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/peer"
+)
+
+// NoInstanceError reports that no agent has the given name.
+type NoInstanceError struct {
+	Instance string
+}
+
+// Error names the instance.
+func (e *NoInstanceError) Error() string {
+	return "no agent is called " + e.Instance
+}
+
+type drainCmd struct {
+	caller Caller
+	entry  entryFlag
+	dryRun bool
+}
+
+func newDrainCmd(c Caller) *cobra.Command {
+	d := &drainCmd{caller: c}
+	cmd := &cobra.Command{
+		Use:   "drain INSTANCE",
+		Short: "Move every connection off an agent and end it",
+		Args:  exactlyOne,
+		RunE:  d.runDrain,
+	}
+	d.entry.add(cmd)
+	cmd.Flags().BoolVar(&d.dryRun, "dry-run", false, "say what would be drained and change nothing")
+	return cmd
+}
+
+func exactlyOne(cmd *cobra.Command, arguments []string) error {
+	if err := cobra.ExactArgs(1)(cmd, arguments); err != nil {
+		return errors.WithStack(&command.UsageError{Cause: err})
+	}
+	return nil
+}
+
+func (d *drainCmd) runDrain(cmd *cobra.Command, arguments []string) error {
+	m, err := d.find(cmd.Context(), arguments[0])
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(cmd.Context(), callTimeout)
+	defer cancel()
+	if d.dryRun {
+		var s peer.StatusReply
+		if err := d.caller.Call(ctx, m.Control, peer.MethodStatus, peer.StatusRequest{}, &s); err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: would move %d connections\n", m.Instance, s.Open)
+		return err
+	}
+	var reply peer.DrainReply
+	if err := d.caller.Call(ctx, m.Control, peer.MethodDrain, peer.DrainRequest{}, &reply); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s: draining %d connections\n", m.Instance, reply.Open)
+	return err
+}
+
+func (d *drainCmd) find(ctx context.Context, instance string) (facts.Member, error) {
+	entry, err := d.entry.address()
+	if err != nil {
+		return facts.Member{}, err
+	}
+	all, err := members(ctx, d.caller, entry)
+	if err != nil {
+		return facts.Member{}, err
+	}
+	for _, m := range all {
+		if m.Instance == instance && m.Role == facts.RoleAgent {
+			return m, nil
+		}
+	}
+	return facts.Member{}, errors.WithStack(&NoInstanceError{Instance: instance})
+}
--- /dev/null
+++ b/coltsfootline/cmd/root.go
@@ -0,0 +1,93 @@
+// Package cmd is the operator's command line.
+package cmd
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/coltsfootline/coltsfootline/kernel/command"
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/peer"
+)
+
+const callTimeout = 5 * time.Second
+
+// Caller calls methods of instances.
+type Caller interface {
+	Call(ctx context.Context, to netip.AddrPort, method string, params, result any) error
+}
+
+// Main runs the command line and returns the exit code.
+func Main(arguments []string, out, errorOut io.Writer) int {
+	pool := &peer.Pool{}
+	defer pool.Close()
+	return command.Execute(newRoot(pool), arguments, out, errorOut)
+}
+
+func newRoot(c Caller) *cobra.Command {
+	root := command.NewRoot("coltsfootline", "Operate a coltsfootline installation",
+		"The operator's command line. It speaks to any entry's control address.\n\n"+
+			"Exit codes: 0 done, 1 failed, 2 faulty arguments or settings.")
+	root.AddCommand(
+		newStatusCmd(c),
+		newDrainCmd(c),
+		newDoctorCmd(c),
+		command.NewVersionCmd("coltsfootline"),
+	)
+	return root
+}
+
+// AddressError reports a flag that is not an IPv4 address with a port.
+type AddressError struct {
+	Flag  string
+	Value string
+}
+
+// Error names the flag and its value.
+func (e *AddressError) Error() string {
+	return "--" + e.Flag + " " + e.Value + ": expected IPv4 address:port"
+}
+
+// entryFlag is the control address of the entry that a command speaks to.
+type entryFlag struct {
+	text string
+}
+
+func (f *entryFlag) add(cmd *cobra.Command) {
+	cmd.Flags().StringVarP(&f.text, "entry", "e", "127.0.0.1:7100", "control address of an entry")
+}
+
+func (f *entryFlag) address() (netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(f.text)
+	if err != nil || !a.Addr().Is4() || a.Port() == 0 {
+		return netip.AddrPort{}, errors.WithStack(&command.UsageError{Cause: &AddressError{Flag: "entry", Value: f.text}})
+	}
+	return a, nil
+}
+
+// members reads the members that an entry knows.
+func members(ctx context.Context, c Caller, entry netip.AddrPort) ([]facts.Member, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply peer.ExchangeReply
+	if err := c.Call(ctx, entry, peer.MethodExchange, peer.ExchangeRequest{}, &reply); err != nil {
+		return nil, err
+	}
+	var all []facts.Member
+	for _, f := range reply.Facts {
+		if f.Kind != facts.KindMember {
+			continue
+		}
+		m, err := facts.MemberOf(f)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, m)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/entry/cmd/entry.go
@@ -0,0 +1,141 @@
+// Package cmd is the command line of the entry.
+package cmd
+
+import (
+	"context"
+	"io"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/coltsfootline/coltsfootline/entry/fabric"
+	"github.com/coltsfootline/coltsfootline/kernel/command"
+	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/peer"
+	"github.com/coltsfootline/coltsfootline/kernel/process"
+	"github.com/coltsfootline/coltsfootline/kernel/services"
+	"github.com/coltsfootline/coltsfootline/kernel/store"
+	"github.com/coltsfootline/coltsfootline/kernel/table"
+)
+
+// leaveLinger is how long an entry goes on forwarding after it was told to stop.
+const leaveLinger = 3 * time.Second
+
+// Main runs the entry's command line and returns the exit code.
+func Main(arguments []string, out, errorOut io.Writer) int {
+	p := &command.Program[*Settings]{
+		Name:  "entry",
+		Short: "Forward packets of services to the agents that hold their connections",
+		Long: "The entry takes packets from the network fabric (GUE variant 1) and forwards each to the agent\n" +
+			"that owns its connection. It keeps no state per connection: any number of entries may share the\n" +
+			"packets of one connection, and each may be replaced at any time.",
+		NewSettings: func() *Settings { return &Settings{Workers: 1, Table: table.Default} },
+		Run:         run,
+		Checks:      checks,
+	}
+	return command.Execute(p.Root(), arguments, out, errorOut)
+}
+
+func checks(s *Settings) []command.Check {
+	all := []command.Check{
+		command.CanListenUDP("packets", s.Packets),
+		command.CanListenTCP("control", s.Control),
+		command.CanListenTCP("admin", s.Admin),
+	}
+	if u, err := url.Parse(s.Store); err == nil {
+		all = append(all, command.CanConnect("store", u.Host))
+	}
+	for _, p := range s.Peers {
+		all = append(all, command.CanConnect("peer", p.String()))
+	}
+	return all
+}
+
+func run(ctx context.Context, s *Settings, logs io.Writer) error {
+	builder, err := table.Builders.Get(s.Table)
+	if err != nil {
+		return err
+	}
+	logger := events.NewLogger(logs, s.Log, s.Instance)
+	p := &process.Process{Admin: s.Admin, Pprof: s.Pprof, Logger: logger}
+	e := &entry{settings: s, process: p, builder: builder}
+	e.forwarder = &fabric.Forwarder{
+		Listen:   s.Packets,
+		Workers:  s.Workers,
+		Keys:     fabric.Keys{Hash: s.HashKey, Packet: s.PacketKey},
+		Counters: fabric.NewCounters(metrics.GetDefaultSet()),
+		Logger:   logger,
+	}
+	return p.Run(ctx, e.serve)
+}
+
+type entry struct {
+	settings  *Settings
+	process   *process.Process
+	builder   table.Builder
+	forwarder *fabric.Forwarder
+	leaving   atomic.Bool
+}
+
+func (e *entry) serve(ctx context.Context) error {
+	pool := &peer.Pool{}
+	defer pool.Close()
+	spread := &peer.Spread{
+		Self: facts.Member{
+			Instance:   e.settings.Instance,
+			Role:       facts.RoleEntry,
+			DataCentre: e.settings.DataCentre,
+			Packets:    e.settings.Packets,
+			Control:    e.settings.Control,
+			State:      facts.StateServing,
+		},
+		Incarnation: uint64(time.Now().UnixNano()),
+		Seeds:       e.settings.Peers,
+		Pool:        pool,
+		Logger:      e.process.Logger,
+		OnChange:    e.onChange,
+		Detect:      true,
+	}
+	server := &peer.Server{Address: e.settings.Control, Handlers: e.handlers(spread), Logger: e.process.Logger}
+	lifetime, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	spread.Start(lifetime)
+	if err := server.Start(lifetime); err != nil {
+		return err
+	}
+	w := &storeWatch{client: &store.Client{Base: e.settings.Store}, name: services.DocumentName, spread: spread, logger: e.process.Logger}
+	go w.run(lifetime)
+	if err := e.forwarder.Start(lifetime); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	e.leave(lifetime, spread)
+	return nil
+}
+
+// leave forwards for a while after the fabric could learn that this entry takes no more packets.
+func (e *entry) leave(ctx context.Context, spread *peer.Spread) {
+	e.process.SetReady(false)
+	e.leaving.Store(true)
+	spread.Do(ctx, func(now time.Time) { spread.SetState(now, facts.StateLeft) })
+	time.Sleep(leaveLinger)
+}
+
+// onChange runs on the control thread.
+func (e *entry) onChange(_ time.Time, v *peer.View) {
+	routes := services.Build(v.Services, v.Members, e.builder, e.forwarder.Routes())
+	e.forwarder.SetRoutes(routes)
+	e.process.SetReady(len(v.Services.Services) > 0 && !e.leaving.Load())
+}
+
+func (e *entry) handlers(spread *peer.Spread) map[string]peer.Handler {
+	all := spread.Handlers()
+	all[peer.MethodStatus] = peer.Handle(func(context.Context, peer.StatusRequest) (peer.StatusReply, error) {
+		v := spread.View()
+		return peer.StatusReply{Instance: e.settings.Instance, Digest: v.Digest, Members: len(v.Members)}, nil
+	})
+	return all
+}
--- /dev/null
+++ b/entry/cmd/settings.go
@@ -0,0 +1,46 @@
+package cmd
+
+import (
+	"net/netip"
+
+	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
+	"github.com/coltsfootline/coltsfootline/kernel/settings"
+)
+
+const maxWorkers = 64
+
+// Settings is the entry's settings file.
+type Settings struct {
+	Instance   string           `yaml:"instance"`
+	DataCentre string           `yaml:"dataCentre"`
+	Packets    netip.AddrPort   `yaml:"packets"`
+	Control    netip.AddrPort   `yaml:"control"`
+	Admin      netip.AddrPort   `yaml:"admin"`
+	Peers      []netip.AddrPort `yaml:"peers"`
+	Store      string           `yaml:"store"`
+	HashKey    gue.Key          `yaml:"hashKey"`
+	PacketKey  gue.Key          `yaml:"packetKey"`
+	Workers    int              `yaml:"workers"`
+	Table      string           `yaml:"table"`
+	Pprof      bool             `yaml:"pprof"`
+	Log        events.Options   `yaml:"log"`
+}
+
+// Validate returns every fault of the settings.
+func (s *Settings) Validate() []settings.Fault {
+	var f settings.Faults
+	f.Require(s.Instance != "", "instance", "a name")
+	f.Require(s.DataCentre != "", "dataCentre", "a name")
+	f.Address(s.Packets, "packets")
+	f.Address(s.Control, "control")
+	f.Address(s.Admin, "admin")
+	f.Distinct(map[string]netip.AddrPort{"control": s.Control, "admin": s.Admin}, "control", "admin")
+	f.Peers(s.Peers, s.Control, "peers")
+	f.URL(s.Store, "store")
+	f.Require(s.HashKey != gue.Key{}, "hashKey", "32 hexadecimal digits, not all zero")
+	f.Require(s.PacketKey != gue.Key{}, "packetKey", "32 hexadecimal digits, not all zero")
+	f.Between(s.Workers, 1, maxWorkers, "workers")
+	f.LogFormat(s.Log.Format, "log.format")
+	return f
+}
--- /dev/null
+++ b/entry/cmd/settings_test.go
@@ -0,0 +1,25 @@
+package cmd
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootline/coltsfootline/kernel/settings"
+	"github.com/coltsfootline/coltsfootline/kernel/settingstest"
+)
+
+func TestSettingsFaults(t *testing.T) {
+	settingstest.CheckFaults(t, "testdata/settings", func() settings.Checked { return &Settings{Workers: 1} })
+}
+
+func TestMainExitCodes(t *testing.T) {
+	require.Equal(t, 2, Main([]string{"validate", "--settings", "testdata/settings/unknownKey.yaml"}, discard{}, discard{}))
+	require.Equal(t, 0, Main([]string{"validate", "--settings", "testdata/settings/valid.yaml"}, discard{}, discard{}))
+	require.Equal(t, 2, Main([]string{"run", "--settings", "testdata/settings/absent.yaml"}, discard{}, discard{}))
+	require.Equal(t, 2, Main([]string{"run", "--unknown"}, discard{}, discard{}))
+}
+
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
--- /dev/null
+++ b/entry/fabric/decide.go
@@ -0,0 +1,38 @@
+package fabric
+
+import (
+	"net"
+
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
+	"github.com/coltsfootline/coltsfootline/kernel/services"
+)
+
+// Keys are the secrets that entries and agents share.
+type Keys struct {
+	Hash   gue.Key
+	Packet gue.Key
+}
+
+// Decide takes a buffer whose packet starts at gue.HeaderLength, writes the header before it and returns
+// the length to send and the agent to send it to. It keeps no state per flow and does not allocate.
+func Decide(buffer []byte, routes *services.Routes, keys Keys) (int, *net.UDPAddr, gue.Reason) {
+	packet, reason := gue.Parse(buffer[gue.HeaderLength:])
+	if reason != gue.ReasonNone {
+		return 0, nil, reason
+	}
+	route := routes.Find(packet.Flow.Service)
+	if route == nil {
+		return 0, nil, gue.ReasonUnknownAddress
+	}
+	owner := route.Owner(packet.Flow.Hash(keys.Hash))
+	if owner < 0 {
+		return 0, nil, gue.ReasonNoTarget
+	}
+	h := gue.Header{
+		Service:      route.Service.ID,
+		Generation:   route.Service.Generation,
+		TableVersion: route.Version,
+	}
+	h.Put(buffer, keys.Packet)
+	return gue.HeaderLength + len(packet.IP), route.Addresses[owner], gue.ReasonNone
+}
--- /dev/null
+++ b/kernel/command/check.go
@@ -0,0 +1,52 @@
+package command
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+)
+
+const checkTimeout = time.Second
+
+// Check is one environment check of doctor.
+type Check struct {
+	Name string
+	Run  func(ctx context.Context) error
+}
+
+// CanListenTCP checks that nothing else holds a TCP address of this instance.
+func CanListenTCP(name string, a netip.AddrPort) Check {
+	return Check{Name: name + " " + a.String() + " is free", Run: func(ctx context.Context) error {
+		var config net.ListenConfig
+		l, err := config.Listen(ctx, "tcp4", a.String())
+		if err != nil {
+			return err
+		}
+		return l.Close()
+	}}
+}
+
+// CanListenUDP checks that nothing else holds a UDP address of this instance.
+func CanListenUDP(name string, a netip.AddrPort) Check {
+	return Check{Name: name + " " + a.String() + " is free", Run: func(ctx context.Context) error {
+		var config net.ListenConfig
+		l, err := config.ListenPacket(ctx, "udp4", a.String())
+		if err != nil {
+			return err
+		}
+		return l.Close()
+	}}
+}
+
+// CanConnect checks that a TCP address answers.
+func CanConnect(name, address string) Check {
+	return Check{Name: name + " " + address + " answers", Run: func(ctx context.Context) error {
+		dialer := net.Dialer{Timeout: checkTimeout}
+		c, err := dialer.DialContext(ctx, "tcp4", address)
+		if err != nil {
+			return err
+		}
+		return c.Close()
+	}}
+}
--- /dev/null
+++ b/kernel/command/doctorCmd.go
@@ -0,0 +1,60 @@
+package command
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/coltsfootline/coltsfootline/kernel/settings"
+)
+
+// UnhealthyError reports how many environment checks failed.
+type UnhealthyError struct {
+	Failed int
+}
+
+// Error prints the count.
+func (e *UnhealthyError) Error() string {
+	return strconv.Itoa(e.Failed) + " checks failed"
+}
+
+type doctorCmd[S settings.Checked] struct {
+	program *Program[S]
+	file    string
+}
+
+func newDoctorCmd[S settings.Checked](p *Program[S]) *cobra.Command {
+	c := &doctorCmd[S]{program: p}
+	cmd := &cobra.Command{
+		Use:   "doctor",
+		Short: "Check the settings file and the environment it names",
+		Args:  cobra.NoArgs,
+		RunE:  c.runDoctor,
+	}
+	addSettingsFlag(cmd, &c.file)
+	return cmd
+}
+
+func (c *doctorCmd[S]) runDoctor(cmd *cobra.Command, _ []string) error {
+	s := c.program.NewSettings()
+	if err := settings.Load(c.file, s); err != nil {
+		return err
+	}
+	failed := 0
+	for _, check := range c.program.Checks(s) {
+		verdict := "ok"
+		if err := check.Run(cmd.Context()); err != nil {
+			verdict = "failed: " + err.Error()
+			failed++
+		}
+		if _, err := fmt.Fprintln(cmd.OutOrStdout(), check.Name+": "+verdict); err != nil {
+			return err
+		}
+	}
+	if failed > 0 {
+		return errors.WithStack(&UnhealthyError{Failed: failed})
+	}
+	return nil
+}
--- /dev/null
+++ b/kernel/command/runCmd.go
@@ -0,0 +1,41 @@
+package command
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/coltsfootline/coltsfootline/kernel/settings"
+)
+
+const settingsFlag = "settings"
+
+type runCmd[S settings.Checked] struct {
+	program *Program[S]
+	file    string
+}
+
+func newRunCmd[S settings.Checked](p *Program[S]) *cobra.Command {
+	c := &runCmd[S]{program: p}
+	cmd := &cobra.Command{
+		Use:   "run",
+		Short: "Run the " + p.Name + " until SIGTERM",
+		Long:  "Run the " + p.Name + " until SIGTERM, which stops it gracefully; a second SIGTERM ends it at once.",
+		Args:  cobra.NoArgs,
+		RunE:  c.runRun,
+	}
+	addSettingsFlag(cmd, &c.file)
+	return cmd
+}
+
+func (c *runCmd[S]) runRun(cmd *cobra.Command, _ []string) error {
+	s := c.program.NewSettings()
+	if err := settings.Load(c.file, s); err != nil {
+		return err
+	}
+	return c.program.Run(cmd.Context(), s, cmd.ErrOrStderr())
+}
+
+func addSettingsFlag(cmd *cobra.Command, file *string) {
+	cmd.Flags().StringVarP(file, settingsFlag, "s", "", "YAML settings file")
+	_ = cmd.MarkFlagRequired(settingsFlag)
+	_ = cmd.MarkFlagFilename(settingsFlag, "yaml", "yml")
+}
--- /dev/null
+++ b/kernel/facts/detector.go
@@ -0,0 +1,100 @@
+package facts
+
+import (
+	"time"
+)
+
+// SilenceTimeout is how long a member may be silent before it is marked down.
+const SilenceTimeout = 1500 * time.Millisecond
+
+// Detector notes when members were last heard and proposes facts for those that went silent.
+// The zero value is ready to use. It belongs to one control thread.
+type Detector struct {
+	heard     map[string]time.Time
+	others    map[string]time.Time
+	lastCheck time.Time
+}
+
+// Heard notes that a member spoke to this instance at now.
+func (d *Detector) Heard(instance string, now time.Time) {
+	if d.heard == nil {
+		d.heard = make(map[string]time.Time)
+	}
+	d.heard[instance] = now
+}
+
+// Hears reports whether the member ever spoke to this instance.
+func (d *Detector) Hears(instance string) bool {
+	_, ok := d.heard[instance]
+	return ok
+}
+
+// HeardByOther notes how long ago, in milliseconds, another instance heard members.
+func (d *Detector) HeardByOther(agesMs map[string]int64, now time.Time) {
+	if d.others == nil {
+		d.others = make(map[string]time.Time)
+	}
+	for instance, age := range agesMs {
+		at := now.Add(-time.Duration(age) * time.Millisecond)
+		if at.After(d.others[instance]) {
+			d.others[instance] = at
+		}
+	}
+}
+
+// Ages returns how long ago, in milliseconds, members spoke to this instance; silent ones are left out.
+func (d *Detector) Ages(now time.Time) map[string]int64 {
+	ages := make(map[string]int64, len(d.heard))
+	for instance, at := range d.heard {
+		if age := now.Sub(at); age < SilenceTimeout {
+			ages[instance] = age.Milliseconds()
+		}
+	}
+	return ages
+}
+
+// Silent returns facts that mark down each member heard before and silent for SilenceTimeout everywhere.
+func (d *Detector) Silent(now time.Time, s *Set) []Fact {
+	if d.pausedUntil(now) {
+		return nil
+	}
+	var down []Fact
+	for instance, at := range d.heard {
+		if now.Sub(at) < SilenceTimeout || now.Sub(d.others[instance]) < SilenceTimeout {
+			continue
+		}
+		delete(d.heard, instance)
+		if f, ok := markedDown(s, instance); ok {
+			down = append(down, f)
+		}
+	}
+	return down
+}
+
+// pausedUntil reports that this process did not run for a while before now: silence then says nothing
+// about the others, so that each gets a whole timeout anew.
+func (d *Detector) pausedUntil(now time.Time) bool {
+	last := d.lastCheck
+	d.lastCheck = now
+	if last.IsZero() || now.Sub(last) < SilenceTimeout/2 {
+		return false
+	}
+	for instance := range d.heard {
+		d.heard[instance] = now
+	}
+	return true
+}
+
+func markedDown(s *Set, instance string) (Fact, bool) {
+	held, ok := s.Get(Key{Kind: KindMember, Name: instance})
+	if !ok {
+		return Fact{}, false
+	}
+	m, err := MemberOf(held)
+	if err != nil || m.State == StateDown || m.State == StateLeft {
+		return Fact{}, false
+	}
+	m.State = StateDown
+	f, err := m.Fact(held.Incarnation, held.Version+1)
+	return f, err == nil
+}
--- /dev/null
+++ b/kernel/gue/packet.go
@@ -0,0 +1,79 @@
+package gue
+
+import (
+	"gvisor.dev/gvisor/pkg/tcpip/header"
+)
+
+// Packet is a checked view of an IPv4 TCP packet; it aliases the bytes it was parsed from.
+type Packet struct {
+	Flow  Flow
+	Flags header.TCPFlags
+	IP    header.IPv4
+	TCP   header.TCP
+}
+
+// Parse checks an IPv4 TCP packet and returns its view, or the reason to drop it.
+// It does not allocate. Bytes beyond the IPv4 total length are cut off.
+func Parse(b []byte) (Packet, Reason) {
+	if len(b) < header.IPv4MinimumSize {
+		return Packet{}, ReasonShort
+	}
+	ip := header.IPv4(b)
+	if b[0]>>4 != header.IPv4Version {
+		return Packet{}, ReasonVersion
+	}
+	headerLength := int(ip.HeaderLength())
+	if headerLength < header.IPv4MinimumSize || headerLength > len(b) {
+		return Packet{}, ReasonHeaderLength
+	}
+	total := int(ip.TotalLength())
+	if total < headerLength || total > len(b) {
+		return Packet{}, ReasonTotalLength
+	}
+	if ip.More() || ip.FragmentOffset() != 0 {
+		return Packet{}, ReasonFragment
+	}
+	if ip.TransportProtocol() != header.TCPProtocolNumber {
+		return Packet{}, ReasonProtocol
+	}
+	return parseTCP(ip[:total], headerLength)
+}
+
+func parseTCP(ip header.IPv4, headerLength int) (Packet, Reason) {
+	segment := header.TCP(ip[headerLength:])
+	if len(segment) < header.TCPMinimumSize {
+		return Packet{}, ReasonShort
+	}
+	offset := int(segment.DataOffset())
+	if offset < header.TCPMinimumSize || offset > len(segment) {
+		return Packet{}, ReasonHeaderLength
+	}
+	p := Packet{IP: ip, TCP: segment, Flags: segment.Flags()}
+	copy(p.Flow.Caller.Address[:], ip[12:16])
+	copy(p.Flow.Service.Address[:], ip[16:20])
+	p.Flow.Caller.Port = segment.SourcePort()
+	p.Flow.Service.Port = segment.DestinationPort()
+	return p, ReasonNone
+}
+
+// Reply returns the flow of a packet that travels from the service to the caller.
+func (p Packet) Reply() Flow {
+	return Flow{Caller: p.Flow.Service, Service: p.Flow.Caller}
+}
+
+// SequenceLength is the sequence space that the segment takes, in octets, SYN and FIN included.
+func (p Packet) SequenceLength() uint32 {
+	n := uint32(len(p.TCP.Payload()))
+	if p.Flags.Contains(header.TCPFlagSyn) {
+		n++
+	}
+	if p.Flags.Contains(header.TCPFlagFin) {
+		n++
+	}
+	return n
+}
+
+// IsOpening reports a SYN without ACK.
+func (p Packet) IsOpening() bool {
+	return p.Flags.Contains(header.TCPFlagSyn) && !p.Flags.Contains(header.TCPFlagAck)
+}
--- /dev/null
+++ b/kernel/peer/server.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/process"
+)
+
+// Handler answers one method; its result is encoded as JSON.
+type Handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Handle adapts a typed function to a Handler; params that don't decode are refused.
+func Handle[P, R any](f func(context.Context, P) (R, error)) Handler {
+	return func(ctx context.Context, raw json.RawMessage) (any, error) {
+		var params P
+		if err := json.Unmarshal(raw, &params); err != nil {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+		}
+		return f(ctx, params)
+	}
+}
+
+// Server answers control messages.
+type Server struct {
+	Address  netip.AddrPort
+	Handlers map[string]Handler
+	Logger   *slog.Logger
+
+	listener net.Listener
+}
+
+// Start listens on the address and serves until ctx ends.
+func (s *Server) Start(ctx context.Context) error {
+	l, err := net.Listen("tcp4", s.Address.String())
+	if err != nil {
+		return errors.WithStack(&process.ListenError{Address: s.Address.String(), Cause: err})
+	}
+	s.listener = l
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	go s.run(ctx)
+	return nil
+}
+
+func (s *Server) run(ctx context.Context) {
+	for {
+		socket, err := s.listener.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				events.PeerListenFailed.Log(s.Logger, events.Failure(err))
+			}
+			return
+		}
+		conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(socket), jsonrpc2.AsyncHandler(s))
+		context.AfterFunc(ctx, func() { _ = conn.Close() })
+	}
+}
+
+// Handle answers one request.
+func (s *Server) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	jsonrpc2.HandlerWithError(s.answer).Handle(ctx, conn, r)
+}
+
+func (s *Server) answer(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+	h, ok := s.Handlers[r.Method]
+	if !ok {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+	}
+	params := json.RawMessage("null")
+	if r.Params != nil {
+		params = *r.Params
+	}
+	return h(ctx, params)
+}
--- /dev/null
+++ b/kernel/peer/spread.go
@@ -0,0 +1,295 @@
+package peer
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/services"
+)
+
+// The methods of Spread.
+const (
+	MethodExchange = "peer.exchange"
+	MethodSpread   = "peer.spread"
+)
+
+const (
+	exchangePeriod  = 250 * time.Millisecond
+	exchangeTimeout = time.Second
+	spreadFanOut    = 8
+	taskQueueLength = 256
+)
+
+// ExchangeRequest compares sets: the digest of the sender's set, and how long ago it heard members.
+type ExchangeRequest struct {
+	Instance string           `json:"instance"`
+	Digest   uint64           `json:"digest"`
+	HeardMs  map[string]int64 `json:"heardMs,omitempty"`
+}
+
+// ExchangeReply carries the responder's facts when the digests differ.
+type ExchangeReply struct {
+	Digest uint64       `json:"digest"`
+	Facts  []facts.Fact `json:"facts,omitempty"`
+}
+
+// SpreadRequest carries facts that the sender accepted.
+type SpreadRequest struct {
+	Facts []facts.Fact `json:"facts"`
+}
+
+// SpreadReply acknowledges a SpreadRequest.
+type SpreadReply struct{}
+
+// View is an immutable picture of the facts.
+type View struct {
+	Digest   uint64
+	Members  []facts.Member
+	Services services.List
+}
+
+// Spread owns an instance's facts; its loop is the one control thread. Set the exported fields, then Start.
+type Spread struct {
+	Self        facts.Member
+	Incarnation uint64
+	// Seeds are control addresses of entries to begin with; the members known later take their place.
+	Seeds  []netip.AddrPort
+	Pool   *Pool
+	Logger *slog.Logger
+	// OnChange runs on the control thread after each change of the view.
+	OnChange func(now time.Time, v *View)
+	// Detect switches on marking silent members down.
+	Detect bool
+
+	set      facts.Set
+	version  uint64
+	detector facts.Detector
+	tasks    chan func(now time.Time)
+	links    map[netip.AddrPort]*link
+	view     atomic.Pointer[View]
+}
+
+// Handlers returns the methods that Spread answers.
+func (s *Spread) Handlers() map[string]Handler {
+	return map[string]Handler{
+		MethodExchange: Handle(s.exchange),
+		MethodSpread:   Handle(s.spread),
+	}
+}
+
+// Start begins the control loop, which ends with ctx.
+func (s *Spread) Start(ctx context.Context) {
+	s.tasks = make(chan func(time.Time), taskQueueLength)
+	s.links = make(map[netip.AddrPort]*link)
+	s.view.Store(&View{})
+	go s.loop(ctx)
+}
+
+// View returns the latest view.
+func (s *Spread) View() *View {
+	return s.view.Load()
+}
+
+// Do runs f on the control thread and waits for it; it reports false when ctx ended first.
+func (s *Spread) Do(ctx context.Context, f func(now time.Time)) bool {
+	done := make(chan struct{})
+	task := func(now time.Time) {
+		f(now)
+		close(done)
+	}
+	select {
+	case s.tasks <- task:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// SetState publishes a new state of this instance. Call it on the control thread.
+func (s *Spread) SetState(now time.Time, state facts.State) {
+	s.Self.State = state
+	s.announce(now)
+}
+
+// Accept merges facts and passes on those that were new. Call it on the control thread.
+func (s *Spread) Accept(now time.Time, all []facts.Fact) {
+	kept := s.set.MergeAll(all)
+	if len(kept) == 0 {
+		return
+	}
+	s.refute(now, kept)
+	s.publish(now)
+	s.passOn(now, kept)
+}
+
+func (s *Spread) loop(ctx context.Context) {
+	ticker := time.NewTicker(exchangePeriod)
+	defer ticker.Stop()
+	s.announce(time.Now())
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case task := <-s.tasks:
+			task(time.Now())
+		case now := <-ticker.C:
+			s.tick(ctx, now)
+		}
+	}
+}
+
+func (s *Spread) tick(ctx context.Context, now time.Time) {
+	if s.Detect {
+		s.markSilent(now)
+	}
+	for _, p := range s.peers() {
+		s.link(ctx, p).exchangeWith(s.request(now))
+	}
+}
+
+func (s *Spread) request(now time.Time) ExchangeRequest {
+	r := ExchangeRequest{Instance: s.Self.Instance, Digest: s.set.Digest()}
+	if s.Detect {
+		r.HeardMs = s.detector.Ages(now)
+	}
+	return r
+}
+
+func (s *Spread) markSilent(now time.Time) {
+	for _, f := range s.detector.Silent(now, &s.set) {
+		events.MemberSilent.Log(s.Logger, slog.String("member", f.Name))
+		s.Accept(now, []facts.Fact{f})
+	}
+}
+
+func (s *Spread) announce(now time.Time) {
+	s.version++
+	f, err := s.Self.Fact(s.Incarnation, s.version)
+	if err != nil {
+		events.FactRefused.Log(s.Logger, events.Failure(err))
+		return
+	}
+	s.Accept(now, []facts.Fact{f})
+}
+
+// refute answers another instance's claim about this one with a greater version.
+func (s *Spread) refute(now time.Time, kept []facts.Fact) {
+	for _, f := range kept {
+		if f.Kind != facts.KindMember || f.Name != s.Self.Instance {
+			continue
+		}
+		if f.Incarnation == s.Incarnation && f.Version > s.version {
+			s.version = f.Version
+			events.SelfRefuted.Log(s.Logger)
+			s.announce(now)
+		}
+	}
+}
+
+func (s *Spread) publish(now time.Time) {
+	v := &View{Digest: s.set.Digest()}
+	for _, f := range s.set.All() {
+		if f.Kind != facts.KindMember {
+			continue
+		}
+		m, err := facts.MemberOf(f)
+		if err != nil {
+			events.FactRefused.Log(s.Logger, events.Failure(err))
+			continue
+		}
+		v.Members = append(v.Members, m)
+	}
+	list, err := services.ListOf(&s.set)
+	if err != nil {
+		events.FactRefused.Log(s.Logger, events.Failure(err))
+	}
+	v.Services = list
+	s.view.Store(v)
+	if s.OnChange != nil {
+		s.OnChange(now, v)
+	}
+}
+
+// passOn sends accepted facts to a bounded number of other instances; exchanges reach the rest.
+func (s *Spread) passOn(_ time.Time, kept []facts.Fact) {
+	sent := 0
+	peers := s.peers()
+	for _, i := range rand.Perm(len(peers)) {
+		if sent == spreadFanOut {
+			break
+		}
+		if l, ok := s.links[peers[i]]; ok {
+			l.send(kept)
+			sent++
+		}
+	}
+	if s.Self.Role != facts.RoleEntry {
+		return
+	}
+	for _, m := range s.view.Load().Members {
+		if m.Role == facts.RoleAgent && s.detector.Hears(m.Instance) {
+			if l, ok := s.links[m.Control]; ok {
+				l.send(kept)
+			}
+		}
+	}
+}
+
+// peers lists the entries to exchange with.
+func (s *Spread) peers() []netip.AddrPort {
+	return ChoosePeers(s.Self, s.Seeds, s.view.Load().Members)
+}
+
+func (s *Spread) link(ctx context.Context, to netip.AddrPort) *link {
+	l, ok := s.links[to]
+	if !ok {
+		l = newLink(s, to)
+		s.links[to] = l
+		go l.run(ctx)
+	}
+	return l
+}
+
+func (s *Spread) exchange(ctx context.Context, r ExchangeRequest) (ExchangeReply, error) {
+	var reply ExchangeReply
+	ok := s.Do(ctx, func(now time.Time) {
+		s.detector.Heard(r.Instance, now)
+		s.detector.HeardByOther(r.HeardMs, now)
+		s.openLink(ctx, r.Instance)
+		reply.Digest = s.set.Digest()
+		if reply.Digest != r.Digest {
+			reply.Facts = s.set.All()
+		}
+	})
+	if !ok {
+		return reply, ctx.Err()
+	}
+	return reply, nil
+}
+
+// openLink makes facts flow back to an agent that exchanges with this entry.
+func (s *Spread) openLink(ctx context.Context, instance string) {
+	for _, m := range s.view.Load().Members {
+		if m.Instance == instance && m.Role == facts.RoleAgent {
+			s.link(context.WithoutCancel(ctx), m.Control)
+		}
+	}
+}
+
+func (s *Spread) spread(ctx context.Context, r SpreadRequest) (SpreadReply, error) {
+	if !s.Do(ctx, func(now time.Time) { s.Accept(now, r.Facts) }) {
+		return SpreadReply{}, ctx.Err()
+	}
+	return SpreadReply{}, nil
+}
--- /dev/null
+++ b/rig/cluster/cluster.go
@@ -0,0 +1,343 @@
+// Package cluster starts the real programs and the stand-ins as processes on loopback.
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/coltsfootline/coltsfootline/kernel/peer"
+	"github.com/coltsfootline/coltsfootline/kernel/services"
+	"github.com/coltsfootline/coltsfootline/kernel/store"
+	"github.com/coltsfootline/coltsfootline/rig/fabric"
+)
+
+const (
+	readyTimeout = 20 * time.Second
+	readyPause   = 50 * time.Millisecond
+	hashKey      = "000102030405060708090a0b0c0d0e0f"
+	packetKey    = "f0e0d0c0b0a090807060504030201000"
+)
+
+// Node is one entry, or one agent with its target.
+type Node struct {
+	Name    string
+	Service ServiceSize
+	Process *Process
+	Target  *Process
+	Packets netip.AddrPort
+	Control netip.AddrPort
+	Admin   netip.AddrPort
+	// RetiredMs is when the node was told to retire, in Unix milliseconds, or 0.
+	RetiredMs int64
+}
+
+// Cluster is the running system with its stand-ins. Set Directory, Programs, Size, Seed and Logger, then Start.
+type Cluster struct {
+	Directory string
+	Programs  Programs
+	Size      Size
+	Seed      uint64
+	Logger    *slog.Logger
+	Peers     peer.Pool
+
+	Entries []*Node
+	Agents  []*Node
+
+	fabricProcess *Process
+	storeProcess  *Process
+	fabricAddress netip.AddrPort
+	fabricControl netip.AddrPort
+	storeAddress  netip.AddrPort
+	faults        fabric.State
+	started       int
+	everyProcess  []*Process
+}
+
+// Start starts every process and waits until each is ready.
+func (c *Cluster) Start(ctx context.Context) error {
+	if err := c.startStandIns(ctx); err != nil {
+		return err
+	}
+	for range c.Size.Entries {
+		if _, err := c.AddEntry(); err != nil {
+			return err
+		}
+	}
+	for _, s := range c.Size.Services {
+		for range s.Hosts {
+			if _, err := c.AddAgent(s); err != nil {
+				return err
+			}
+		}
+	}
+	for _, n := range append(append([]*Node{}, c.Entries...), c.Agents...) {
+		if err := c.AwaitReady(ctx, n); err != nil {
+			return err
+		}
+	}
+	return c.awaitMembers(ctx)
+}
+
+// awaitMembers waits until every instance has the same facts.
+func (c *Cluster) awaitMembers(ctx context.Context) error {
+	for begin := time.Now(); time.Since(begin) < readyTimeout; time.Sleep(readyPause) {
+		digests := map[uint64]bool{}
+		for _, n := range append(append([]*Node{}, c.Entries...), c.Agents...) {
+			var s peer.StatusReply
+			if err := c.Peers.Call(ctx, n.Control, peer.MethodStatus, peer.StatusRequest{}, &s); err != nil {
+				return err
+			}
+			digests[s.Digest] = true
+		}
+		if len(digests) == 1 {
+			return nil
+		}
+	}
+	return &TimeoutError{Process: "the cluster", Waiting: "agree on its members"}
+}
+
+func (c *Cluster) startStandIns(ctx context.Context) error {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return err
+	}
+	c.fabricAddress, c.fabricControl, c.storeAddress = addresses[0], addresses[1], addresses[2]
+	c.storeProcess, err = c.start("store", c.Programs.Rig, "store", "--listen", c.storeAddress.String())
+	if err != nil {
+		return err
+	}
+	c.fabricProcess, err = c.start("fabric", c.Programs.Rig, "fabric", "--listen", c.fabricAddress.String(),
+		"--control", c.fabricControl.String(), "--seed", strconv.FormatUint(c.Seed, 10))
+	if err != nil {
+		return err
+	}
+	if err := c.awaitPage(ctx, "http://"+c.fabricControl.String()+"/", http.StatusNotFound); err != nil {
+		return err
+	}
+	if err := c.awaitPage(ctx, "http://"+c.storeAddress.String()+"/", http.StatusNotFound); err != nil {
+		return err
+	}
+	return c.putServices(ctx)
+}
+
+func (c *Cluster) putServices(ctx context.Context) error {
+	var l services.List
+	for _, s := range c.Size.Services {
+		l.Services = append(l.Services, s.Service)
+	}
+	value, err := json.Marshal(l)
+	if err != nil {
+		return err
+	}
+	client := store.Client{Base: c.StoreURL()}
+	_, err = client.Put(ctx, services.DocumentName, 0, value)
+	return err
+}
+
+// StoreURL is the base address of the store stand-in.
+func (c *Cluster) StoreURL() string {
+	return "http://" + c.storeAddress.String()
+}
+
+// Fabric is the fabric's packet address.
+func (c *Cluster) Fabric() netip.AddrPort {
+	return c.fabricAddress
+}
+
+func (c *Cluster) start(name, program string, arguments ...string) (*Process, error) {
+	p, err := startProcess(c.Directory, name, program, arguments...)
+	if err == nil {
+		c.everyProcess = append(c.everyProcess, p)
+	}
+	return p, err
+}
+
+// StartCaller starts a caller process with its settings.
+func (c *Cluster) StartCaller(name string, settings any) (*Process, error) {
+	file, err := c.writeSettings(name, settings)
+	if err != nil {
+		return nil, err
+	}
+	return c.start(name, c.Programs.Rig, "caller", "--settings", file)
+}
+
+func (c *Cluster) writeSettings(name string, v any) (string, error) {
+	text, err := yaml.Marshal(v)
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(c.Directory, name+".yaml")
+	return file, os.WriteFile(file, text, 0o600)
+}
+
+// AddEntry starts one more entry; the fabric does not use it yet.
+func (c *Cluster) AddEntry() (*Node, error) {
+	addresses, err := freeAddresses(3)
+	if err != nil {
+		return nil, err
+	}
+	c.started++
+	n := &Node{Name: fmt.Sprintf("entry-%d", c.started), Packets: addresses[0], Control: addresses[1], Admin: addresses[2]}
+	file, err := c.writeSettings(n.Name, map[string]any{
+		"instance":   n.Name,
+		"dataCentre": c.dataCentre(),
+		"packets":    n.Packets.String(),
+		"control":    n.Control.String(),
+		"admin":      n.Admin.String(),
+		"peers":      controls(c.Entries),
+		"store":      c.StoreURL(),
+		"hashKey":    hashKey,
+		"packetKey":  packetKey,
+		"workers":    1,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.Process, err = c.start(n.Name, c.Programs.Entry, "run", "--settings", file)
+	if err != nil {
+		return nil, err
+	}
+	c.Entries = append(c.Entries, n)
+	return n, c.UseEntries(c.Entries)
+}
+
+func (c *Cluster) dataCentre() string {
+	return c.Size.DataCentres[c.started%len(c.Size.DataCentres)]
+}
+
+func controls(nodes []*Node) []string {
+	all := []string{}
+	for _, n := range nodes {
+		all = append(all, n.Control.String())
+	}
+	return all
+}
+
+// AddAgent starts one more target with its agent.
+func (c *Cluster) AddAgent(s ServiceSize) (*Node, error) {
+	addresses, err := freeAddresses(4)
+	if err != nil {
+		return nil, err
+	}
+	c.started++
+	n := &Node{
+		Name:    fmt.Sprintf("%s-%d", s.Service.Name, c.started),
+		Service: s,
+		Packets: addresses[0],
+		Control: addresses[1],
+		Admin:   addresses[2],
+	}
+	n.Target, err = c.start(n.Name+"-target", c.Programs.Rig, "target", "--listen", addresses[3].String(),
+		"--instance", n.Name, "--service", s.Service.Name, "--runs", c.RunsFile(n))
+	if err != nil {
+		return nil, err
+	}
+	file, err := c.writeSettings(n.Name, map[string]any{
+		"instance":   n.Name,
+		"dataCentre": c.dataCentre(),
+		"service":    s.Service.Name,
+		"packets":    n.Packets.String(),
+		"control":    n.Control.String(),
+		"admin":      n.Admin.String(),
+		"fabric":     c.fabricAddress.String(),
+		"entries":    controls(c.Entries),
+		"target":     "http://" + addresses[3].String(),
+		"slots":      s.Slots,
+		"hashKey":    hashKey,
+		"packetKey":  packetKey,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.Process, err = c.start(n.Name, c.Programs.Agent, "run", "--settings", file)
+	if err != nil {
+		return nil, err
+	}
+	c.Agents = append(c.Agents, n)
+	return n, nil
+}
+
+// RunsFile is where the target of a node records its runs.
+func (c *Cluster) RunsFile(n *Node) string {
+	return filepath.Join(c.Directory, n.Name+".runs")
+}
+
+// AwaitReady waits for a node's readiness page.
+func (c *Cluster) AwaitReady(ctx context.Context, n *Node) error {
+	return c.awaitPage(ctx, "http://"+n.Admin.String()+"/readyz", http.StatusOK)
+}
+
+func (c *Cluster) awaitPage(ctx context.Context, url string, status int) error {
+	for begin := time.Now(); time.Since(begin) < readyTimeout; time.Sleep(readyPause) {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return err
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == status {
+			return nil
+		}
+	}
+	return &TimeoutError{Process: url, Waiting: "answer"}
+}
+
+// UseEntries makes the fabric spray over the given entries.
+func (c *Cluster) UseEntries(entries []*Node) error {
+	c.faults.Entries = nil
+	for _, e := range entries {
+		c.faults.Entries = append(c.faults.Entries, e.Packets)
+	}
+	return c.PutFabric("state", c.faults)
+}
+
+// SetFaults changes what the fabric does to packets.
+func (c *Cluster) SetFaults(f fabric.Faults) error {
+	c.faults.Faults = f
+	return c.PutFabric("state", c.faults)
+}
+
+// PutFabric calls the fabric's control page.
+func (c *Cluster) PutFabric(page string, body any) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequest(http.MethodPut, "http://"+c.fabricControl.String()+"/"+page, bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.Body.Close()
+}
+
+// Stop ends every process that this cluster started.
+func (c *Cluster) Stop() {
+	c.Peers.Close()
+	for _, p := range c.everyProcess {
+		if p.Running() {
+			p.Signal(syscall.SIGCONT)
+			p.Kill()
+		}
+	}
+}
--- /dev/null
+++ b/rig/cluster/process.go
@@ -0,0 +1,111 @@
+package cluster
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// TimeoutError reports a process that did not do something in time.
+type TimeoutError struct {
+	Process string
+	Waiting string
+}
+
+// Error names the process.
+func (e *TimeoutError) Error() string {
+	return e.Process + " did not " + e.Waiting + " in time"
+}
+
+// Process is one started program.
+type Process struct {
+	Name string
+
+	command *exec.Cmd
+	log     *os.File
+	output  lockedBuffer
+	done    chan struct{}
+	err     error
+}
+
+// lockedBuffer collects what a process prints.
+type lockedBuffer struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write appends.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Write(p)
+}
+
+// String returns all that was written.
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.String()
+}
+
+func startProcess(directory, name, program string, arguments ...string) (*Process, error) {
+	log, err := os.Create(filepath.Join(directory, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{Name: name, command: exec.Command(program, arguments...), log: log, done: make(chan struct{})}
+	p.command.Stdout = &p.output
+	p.command.Stderr = log
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.command.Start(); err != nil {
+		return nil, err
+	}
+	go p.run()
+	return p, nil
+}
+
+func (p *Process) run() {
+	p.err = p.command.Wait()
+	_ = p.log.Close()
+	close(p.done)
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) {
+	_ = p.command.Process.Signal(s)
+}
+
+// Running reports that the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Wait waits for the end of the process.
+func (p *Process) Wait(limit time.Duration) error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(limit):
+		return &TimeoutError{Process: p.Name, Waiting: "end"}
+	}
+}
+
+// Kill ends the process at once and waits.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// Output returns what the process printed on standard output.
+func (p *Process) Output() string {
+	return p.output.String()
+}
--- /dev/null
+++ b/rig/cmd/experiment.go
@@ -0,0 +1,48 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+
+	"github.com/coltsfootline/coltsfootline/rig/cluster"
+	"github.com/coltsfootline/coltsfootline/rig/scenario"
+)
+
+// experiment builds the programs, starts a cluster in a directory of its own and runs one scenario.
+type experiment struct {
+	options  scenario.Options
+	progress io.Writer
+	keep     bool
+}
+
+func (e *experiment) do(ctx context.Context) (scenario.Result, error) {
+	size, err := cluster.Sizes.Get(e.options.Size)
+	if err != nil {
+		return scenario.Result{}, err
+	}
+	directory, err := os.MkdirTemp("", "coltsfootline-")
+	if err != nil {
+		return scenario.Result{}, err
+	}
+	if !e.keep {
+		defer func() { _ = os.RemoveAll(directory) }()
+	}
+	programs, err := cluster.Build(ctx, directory)
+	if err != nil {
+		return scenario.Result{}, err
+	}
+	c := &cluster.Cluster{
+		Directory: directory,
+		Programs:  programs,
+		Size:      size,
+		Seed:      e.options.Seed,
+		Logger:    slog.New(slog.NewTextHandler(e.progress, nil)),
+	}
+	defer c.Stop()
+	if err := c.Start(ctx); err != nil {
+		return scenario.Result{}, err
+	}
+	return scenario.Run(ctx, c, e.options, e.progress)
+}
--- /dev/null
+++ b/rig/cmd/fabricCmd.go
@@ -0,0 +1,57 @@
+package cmd
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+
+	"github.com/spf13/cobra"
+
+	"github.com/coltsfootline/coltsfootline/rig/fabric"
+)
+
+type fabricCmd struct {
+	listen  string
+	control string
+	seed    uint64
+}
+
+func newFabricCmd() *cobra.Command {
+	c := &fabricCmd{}
+	cmd := &cobra.Command{
+		Use:    "fabric",
+		Short:  "Stand in for the network fabric",
+		Hidden: true,
+		Args:   cobra.NoArgs,
+		RunE:   c.runFabric,
+	}
+	cmd.Flags().StringVar(&c.listen, "listen", "", "UDP address")
+	cmd.Flags().StringVar(&c.control, "control", "", "TCP address of the control page")
+	cmd.Flags().Uint64Var(&c.seed, "seed", 1, "seed of the faults")
+	return cmd
+}
+
+func (c *fabricCmd) runFabric(cmd *cobra.Command, _ []string) error {
+	address, err := netip.ParseAddrPort(c.listen)
+	if err != nil {
+		return err
+	}
+	socket, err := fabric.NewSocket(address)
+	if err != nil {
+		return err
+	}
+	f := &fabric.Fabric{Socket: socket, Random: rand.New(rand.NewPCG(c.seed, 0))}
+	s := &controlPage{server: &http.Server{Addr: c.control, Handler: f.Handler()}}
+	go s.run()
+	f.Run(cmd.Context())
+	return nil
+}
+
+// controlPage serves a stand-in's control page until the process ends.
+type controlPage struct {
+	server *http.Server
+}
+
+func (p *controlPage) run() {
+	_ = p.server.ListenAndServe()
+}
--- /dev/null
+++ b/rig/cmd/storeCmd.go
@@ -0,0 +1,30 @@
+package cmd
+
+import (
+	"net/http"
+
+	"github.com/spf13/cobra"
+
+	"github.com/coltsfootline/coltsfootline/rig/store"
+)
+
+type storeCmd struct {
+	listen string
+}
+
+func newStoreCmd() *cobra.Command {
+	c := &storeCmd{}
+	cmd := &cobra.Command{
+		Use:    "store",
+		Short:  "Stand in for the platform's store",
+		Hidden: true,
+		Args:   cobra.NoArgs,
+		RunE:   c.runStore,
+	}
+	cmd.Flags().StringVar(&c.listen, "listen", "", "TCP address")
+	return cmd
+}
+
+func (c *storeCmd) runStore(*cobra.Command, []string) error {
+	return http.ListenAndServe(c.listen, (&store.Server{}).Handler())
+}
--- /dev/null
+++ b/rig/fabric/fabric.go
@@ -0,0 +1,172 @@
+// Package fabric stands in for the network fabric: it sprays callers' packets over the entries, packet by packet.
+package fabric
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/net/ipv4"
+
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
+)
+
+const (
+	batchLength       = 64
+	packetBytes       = 2048
+	socketBufferBytes = 8 << 20
+)
+
+// Fabric carries packets between callers, entries and agents. Set the exported fields before use.
+type Fabric struct {
+	Socket *net.UDPConn
+	Random *rand.Rand
+
+	mutex      sync.Mutex
+	state      State
+	forgetting Forgetting
+	callers    map[[4]byte]netip.AddrPort
+}
+
+// NewSocket opens the fabric's socket.
+func NewSocket(address netip.AddrPort) (*net.UDPConn, error) {
+	s, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return nil, err
+	}
+	_ = s.SetReadBuffer(socketBufferBytes)
+	_ = s.SetWriteBuffer(socketBufferBytes)
+	return s, nil
+}
+
+// SetState replaces entries and faults.
+func (f *Fabric) SetState(s State) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.state = s
+}
+
+// Handler serves PUT /state, PUT /track and PUT /forget.
+func (f *Fabric) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /state", func(w http.ResponseWriter, r *http.Request) {
+		var s State
+		if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		f.SetState(s)
+	})
+	mux.HandleFunc("PUT /track", func(http.ResponseWriter, *http.Request) { f.change(func() { f.forgetting.Track = true }) })
+	mux.HandleFunc("PUT /forget", func(http.ResponseWriter, *http.Request) { f.change(f.forgetting.Forget) })
+	return mux
+}
+
+func (f *Fabric) change(how func()) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	how()
+}
+
+// Run carries packets until ctx ends.
+func (f *Fabric) Run(ctx context.Context) {
+	context.AfterFunc(ctx, func() { _ = f.Socket.Close() })
+	f.callers = make(map[[4]byte]netip.AddrPort)
+	packets := ipv4.NewPacketConn(f.Socket)
+	incoming := make([]ipv4.Message, batchLength)
+	for i := range incoming {
+		incoming[i].Buffers = [][]byte{make([]byte, packetBytes)}
+	}
+	outgoing := make([]ipv4.Message, 0, 2*batchLength)
+	for {
+		n, err := packets.ReadBatch(incoming, 0)
+		if err != nil {
+			return
+		}
+		outgoing = outgoing[:0]
+		f.mutex.Lock()
+		for i := range n {
+			outgoing = f.carry(outgoing, incoming[i])
+		}
+		f.mutex.Unlock()
+		writeAll(packets, outgoing)
+	}
+}
+
+func writeAll(packets *ipv4.PacketConn, all []ipv4.Message) {
+	for len(all) > 0 {
+		n, err := packets.WriteBatch(all, 0)
+		if err != nil {
+			n = max(n, 0) + 1
+		}
+		all = all[min(n, len(all)):]
+	}
+}
+
+func (f *Fabric) carry(outgoing []ipv4.Message, m ipv4.Message) []ipv4.Message {
+	b := m.Buffers[0][:m.N]
+	p, reason := gue.Parse(b)
+	if reason != gue.ReasonNone {
+		return outgoing
+	}
+	to, ok := f.route(p, m.Addr)
+	if !ok {
+		return outgoing
+	}
+	for _, delay := range f.state.Faults.Decide(f.Random) {
+		if delay == 0 {
+			outgoing = append(outgoing, ipv4.Message{Buffers: [][]byte{b}, Addr: net.UDPAddrFromAddrPort(to)})
+			continue
+		}
+		d := &delayed{socket: f.Socket, packet: append([]byte(nil), b...), to: to}
+		time.AfterFunc(delay, d.run)
+	}
+	return outgoing
+}
+
+// delayed is a packet that waits.
+type delayed struct {
+	socket *net.UDPConn
+	packet []byte
+	to     netip.AddrPort
+}
+
+func (d *delayed) run() {
+	_, _ = d.socket.WriteToUDPAddrPort(d.packet, d.to)
+}
+
+// route finds where a packet goes: to the caller that has its destination address, or to an entry by chance.
+func (f *Fabric) route(p gue.Packet, from net.Addr) (netip.AddrPort, bool) {
+	if to, ok := f.callers[p.Flow.Service.Address]; ok {
+		return to, !f.forgetting.Drops(p.Reply(), false)
+	}
+	sender := from.(*net.UDPAddr).AddrPort()
+	f.callers[p.Flow.Caller.Address] = sender
+	if f.forgetting.Drops(p.Flow, p.IsOpening()) || len(f.state.Entries) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return f.state.Entries[f.pick()], true
+}
+
+func (f *Fabric) pick() int {
+	if len(f.state.Weights) != len(f.state.Entries) {
+		return f.Random.IntN(len(f.state.Entries))
+	}
+	var total float64
+	for _, w := range f.state.Weights {
+		total += w
+	}
+	left := f.Random.Float64() * total
+	for i, w := range f.state.Weights {
+		left -= w
+		if left < 0 {
+			return i
+		}
+	}
+	return len(f.state.Entries) - 1
+}
--- /dev/null
+++ b/rig/scenario/planned.go
@@ -0,0 +1,72 @@
+package scenario
+
+import (
+	"context"
+	"time"
+
+	"github.com/coltsfootline/coltsfootline/rig/cluster"
+)
+
+func init() {
+	Scenarios.Register("steady", Scenario{Purpose: "no change and no fault", Planned: true})
+	Scenarios.Register("replaceEntries", Scenario{Purpose: "replace every entry", Planned: true, Act: replaceEntries})
+	Scenarios.Register("replaceTargets", Scenario{Purpose: "drain and replace every target", Planned: true, Act: replaceTargets})
+	Scenarios.Register("replaceBoth", Scenario{Purpose: "replace every entry and every target", Planned: true, Act: replaceBoth})
+	Scenarios.Register("moveAll", Scenario{Purpose: "move every connection several times", Planned: true, Act: moveAll})
+}
+
+func replaceEntries(ctx context.Context, e *Experiment) error {
+	for _, n := range append([]*cluster.Node{}, e.Cluster.Entries...) {
+		e.Say("replacing %s", n.Name)
+		if err := e.Cluster.ReplaceEntry(ctx, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func replaceTargets(ctx context.Context, e *Experiment) error {
+	for _, n := range append([]*cluster.Node{}, e.Cluster.Agents...) {
+		begin := time.Now()
+		if err := e.Cluster.ReplaceAgent(ctx, n); err != nil {
+			return err
+		}
+		e.Say("replaced %s in %.1fs", n.Name, time.Since(begin).Seconds())
+	}
+	return nil
+}
+
+// replaceBoth takes turns, so that entries and targets change within the same minute.
+func replaceBoth(ctx context.Context, e *Experiment) error {
+	entries := append([]*cluster.Node{}, e.Cluster.Entries...)
+	for i, n := range append([]*cluster.Node{}, e.Cluster.Agents...) {
+		if err := e.Cluster.ReplaceAgent(ctx, n); err != nil {
+			return err
+		}
+		e.Say("replaced %s", n.Name)
+		if i < len(entries) {
+			if err := e.Cluster.ReplaceEntry(ctx, entries[i]); err != nil {
+				return err
+			}
+			e.Say("replaced %s", entries[i].Name)
+		}
+	}
+	return nil
+}
+
+func moveAll(ctx context.Context, e *Experiment) error {
+	total := 0
+	e.Moved = &total
+	for end := time.Now().Add(e.Options.Duration); time.Now().Before(end) && ctx.Err() == nil; {
+		for _, n := range e.Cluster.Live() {
+			moved, err := e.Cluster.MoveAll(ctx, n)
+			if err != nil {
+				return err
+			}
+			total += moved
+		}
+		e.Say("moved %d so far", total)
+		time.Sleep(time.Second)
+	}
+	return nil
+}
--- /dev/null
+++ b/rig/scenario/sorted.go
@@ -0,0 +1,10 @@
+package scenario
+
+import (
+	"maps"
+	"slices"
+)
+
+func sortedKeys(m map[string]int) []string {
+	return slices.Sorted(maps.Keys(m))
+}
