Scenarios for killed entries and agents, lossy fabric, freezes and silent flows

Change: six scenarios; the fabric stand-in forgets flows both ways or one way; a new entry gets packets only once ready. Ruled out: giving a new entry to the fabric before its readiness page answers (its packets are lost while it starts).

--- a/rig/cluster/cluster.go
+++ b/rig/cluster/cluster.go
@@ -21,6 +21,7 @@
 	"github.com/coltsfootline/coltsfootline/kernel/peer"
 	"github.com/coltsfootline/coltsfootline/kernel/services"
 	"github.com/coltsfootline/coltsfootline/kernel/store"
+	"github.com/coltsfootline/coltsfootline/kernel/tcpstack"
 	"github.com/coltsfootline/coltsfootline/rig/fabric"
 )
 
@@ -52,6 +53,8 @@
 	Seed      uint64
 	Logger    *slog.Logger
 	Peers     peer.Pool
+	// KeepAlive is the agents' setting; the zero value means their default.
+	KeepAlive tcpstack.KeepAlive
 
 	Entries []*Node
 	Agents  []*Node
@@ -88,6 +91,9 @@
 			return err
 		}
 	}
+	if err := c.UseEntries(c.Entries); err != nil {
+		return err
+	}
 	return c.awaitMembers(ctx)
 }
 
@@ -211,7 +217,7 @@
 		return nil, err
 	}
 	c.Entries = append(c.Entries, n)
-	return n, c.UseEntries(c.Entries)
+	return n, nil
 }
 
 func (c *Cluster) dataCentre() string {
@@ -245,7 +251,7 @@
 	if err != nil {
 		return nil, err
 	}
-	file, err := c.writeSettings(n.Name, map[string]any{
+	settings := map[string]any{
 		"instance":   n.Name,
 		"dataCentre": c.dataCentre(),
 		"service":    s.Service.Name,
@@ -258,7 +264,15 @@
 		"slots":      s.Slots,
 		"hashKey":    hashKey,
 		"packetKey":  packetKey,
-	})
+	}
+	if c.KeepAlive.Count > 0 {
+		settings["keepAlive"] = map[string]any{
+			"idle":     c.KeepAlive.Idle.String(),
+			"interval": c.KeepAlive.Interval.String(),
+			"count":    c.KeepAlive.Count,
+		}
+	}
+	file, err := c.writeSettings(n.Name, settings)
 	if err != nil {
 		return nil, err
 	}
--- a/rig/cluster/operations.go
+++ b/rig/cluster/operations.go
@@ -25,6 +25,9 @@
 	if err := c.AwaitReady(ctx, fresh); err != nil {
 		return err
 	}
+	if err := c.UseEntries(c.Entries); err != nil {
+		return err
+	}
 	old.Process.Signal(syscall.SIGTERM)
 	time.Sleep(fabricLag)
 	c.Entries = slices.DeleteFunc(c.Entries, func(n *Node) bool { return n == old })
@@ -34,6 +37,24 @@
 	return old.Process.Wait(retireLimit)
 }
 
+// LoseEntry kills an entry, which the fabric goes on using until it notices, and starts another.
+func (c *Cluster) LoseEntry(ctx context.Context, victim *Node, noticed time.Duration) error {
+	victim.Process.Kill()
+	time.Sleep(noticed)
+	c.Entries = slices.DeleteFunc(c.Entries, func(n *Node) bool { return n == victim })
+	if err := c.UseEntries(c.Entries); err != nil {
+		return err
+	}
+	fresh, err := c.AddEntry()
+	if err != nil {
+		return err
+	}
+	if err := c.AwaitReady(ctx, fresh); err != nil {
+		return err
+	}
+	return c.UseEntries(c.Entries)
+}
+
 // ReplaceAgent starts a new target with its agent and retires an old one.
 func (c *Cluster) ReplaceAgent(ctx context.Context, old *Node) error {
 	fresh, err := c.AddAgent(old.Service)
--- a/rig/cmd/experiment.go
+++ b/rig/cmd/experiment.go
@@ -40,6 +40,13 @@
 		Seed:      e.options.Seed,
 		Logger:    slog.New(slog.NewTextHandler(e.progress, nil)),
 	}
+	s, err := scenario.Scenarios.Get(e.options.Name)
+	if err != nil {
+		return scenario.Result{}, err
+	}
+	if s.Configure != nil {
+		s.Configure(c)
+	}
 	defer c.Stop()
 	if err := c.Start(ctx); err != nil {
 		return scenario.Result{}, err
--- a/rig/fabric/fabric.go
+++ b/rig/fabric/fabric.go
@@ -63,7 +63,17 @@
 		f.SetState(s)
 	})
 	mux.HandleFunc("PUT /track", func(http.ResponseWriter, *http.Request) { f.change(func() { f.forgetting.Track = true }) })
-	mux.HandleFunc("PUT /forget", func(http.ResponseWriter, *http.Request) { f.change(f.forgetting.Forget) })
+	mux.HandleFunc("PUT /forget", func(w http.ResponseWriter, r *http.Request) {
+		var oneWay bool
+		if err := json.NewDecoder(r.Body).Decode(&oneWay); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		f.change(func() {
+			f.forgetting.OneWay = oneWay
+			f.forgetting.Forget()
+		})
+	})
 	return mux
 }
 
@@ -143,11 +153,11 @@
 // route finds where a packet goes: to the caller that has its destination address, or to an entry by chance.
 func (f *Fabric) route(p gue.Packet, from net.Addr) (netip.AddrPort, bool) {
 	if to, ok := f.callers[p.Flow.Service.Address]; ok {
-		return to, !f.forgetting.Drops(p.Reply(), false)
+		return to, !f.forgetting.DropsToCaller(p.Reply())
 	}
 	sender := from.(*net.UDPAddr).AddrPort()
 	f.callers[p.Flow.Caller.Address] = sender
-	if f.forgetting.Drops(p.Flow, p.IsOpening()) || len(f.state.Entries) == 0 {
+	if f.forgetting.DropsFromCaller(p.Flow, p.IsOpening()) || len(f.state.Entries) == 0 {
 		return netip.AddrPort{}, false
 	}
 	return f.state.Entries[f.pick()], true
--- a/rig/fabric/faults.go
+++ b/rig/fabric/faults.go
@@ -47,7 +47,9 @@
 // Forgetting drops the packets of flows that were open when it was told to forget, as a middle box that lost its table.
 // The zero value forgets nothing.
 type Forgetting struct {
-	Track     bool
+	Track bool
+	// OneWay lets the packets to callers pass.
+	OneWay    bool
 	known     map[gue.Flow]bool
 	forgotten map[gue.Flow]bool
 }
@@ -58,8 +60,13 @@
 	f.known = nil
 }
 
-// Drops reports whether a packet of the flow is dropped, and learns the flow.
-func (f *Forgetting) Drops(flow gue.Flow, opening bool) bool {
+// DropsToCaller reports whether a packet to the caller of a flow is dropped.
+func (f *Forgetting) DropsToCaller(flow gue.Flow) bool {
+	return !f.OneWay && f.forgotten[flow]
+}
+
+// DropsFromCaller reports whether a packet of the flow's caller is dropped, and learns the flow.
+func (f *Forgetting) DropsFromCaller(flow gue.Flow, opening bool) bool {
 	if !f.Track {
 		return false
 	}
--- a/rig/scenario/planned.go
+++ b/rig/scenario/planned.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/coltsfootline/coltsfootline/rig/cluster"
+	"github.com/coltsfootline/coltsfootline/rig/fabric"
 )
 
 func init() {
@@ -12,7 +13,7 @@
 	Scenarios.Register("replaceEntries", Scenario{Purpose: "replace every entry", Planned: true, Act: replaceEntries})
 	Scenarios.Register("replaceTargets", Scenario{Purpose: "drain and replace every target", Planned: true, Act: replaceTargets})
 	Scenarios.Register("replaceBoth", Scenario{Purpose: "replace every entry and every target", Planned: true, Act: replaceBoth})
-	Scenarios.Register("moveAll", Scenario{Purpose: "move every connection several times", Planned: true, Act: moveAll})
+	Scenarios.Register("moveAll", Scenario{Purpose: "move every connection several times, under loss and reordering", Planned: true, Act: moveAll})
 }
 
 func replaceEntries(ctx context.Context, e *Experiment) error {
@@ -57,6 +58,9 @@
 func moveAll(ctx context.Context, e *Experiment) error {
 	total := 0
 	e.Moved = &total
+	if err := e.Cluster.SetFaults(fabric.Faults{Loss: 0.01, Duplicate: 0.01, Reorder: 0.05, ReorderMs: 5}); err != nil {
+		return err
+	}
 	for end := time.Now().Add(e.Options.Duration); time.Now().Before(end) && ctx.Err() == nil; {
 		for _, n := range e.Cluster.Live() {
 			moved, err := e.Cluster.MoveAll(ctx, n)
--- a/rig/scenario/scenario.go
+++ b/rig/scenario/scenario.go
@@ -22,6 +22,8 @@
 	Purpose string
 	// Planned means that nothing in it may break a connection.
 	Planned bool
+	// Configure changes the cluster before it starts; it may be nil.
+	Configure func(c *cluster.Cluster)
 	// Adjust changes the load before the callers start; it may be nil.
 	Adjust func(l *caller.Load)
 	// TimeoutMs bounds a caller's wait for one answer; 0 means the default.
@@ -51,6 +53,10 @@
 	Random   *rand.Rand
 	Progress io.Writer
 	Moved    *int
+	// MayEnd is how many connections an unplanned death may end.
+	MayEnd int
+	// HeldAfter is how many connections the agents held after a fault.
+	HeldAfter int
 
 	callers  []*cluster.Process
 	outcomes []string
