--- a/agent/cmd/agent.go
+++ b/agent/cmd/agent.go
@@ -64,7 +64,7 @@
 		settings: s,
 		builder:  builder,
 		process:  &process.Process{Admin: s.Admin, Pprof: s.Pprof, Logger: logger},
-		pool:     &peer.Pool{},
+		pool:     &peer.Pool{Routes: s.ControlRoutes},
 	}
 	return a.process.Run(ctx, a.serve)
 }
--- a/agent/cmd/settings.go
+++ b/agent/cmd/settings.go
@@ -8,6 +8,7 @@
 	"github.com/coltsfootline/coltsfootline/agent/caller"
 	"github.com/coltsfootline/coltsfootline/kernel/events"
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
+	"github.com/coltsfootline/coltsfootline/kernel/peer"
 	"github.com/coltsfootline/coltsfootline/kernel/settings"
 	"github.com/coltsfootline/coltsfootline/kernel/tcpstack"
 )
@@ -19,24 +20,25 @@
 
 // Settings is the agent's settings file.
 type Settings struct {
-	Instance   string             `yaml:"instance"`
-	DataCentre string             `yaml:"dataCentre"`
-	Service    string             `yaml:"service"`
-	Packets    netip.AddrPort     `yaml:"packets"`
-	Control    netip.AddrPort     `yaml:"control"`
-	Admin      netip.AddrPort     `yaml:"admin"`
-	Fabric     netip.AddrPort     `yaml:"fabric"`
-	Entries    []netip.AddrPort   `yaml:"entries"`
-	Target     string             `yaml:"target"`
-	Slots      int                `yaml:"slots"`
-	Queue      int                `yaml:"queue"`
-	HashKey    gue.Key            `yaml:"hashKey"`
-	PacketKey  gue.Key            `yaml:"packetKey"`
-	Table      string             `yaml:"table"`
-	KeepAlive  tcpstack.KeepAlive `yaml:"keepAlive"`
-	Drain      caller.DrainLimits `yaml:"drain"`
-	Pprof      bool               `yaml:"pprof"`
-	Log        events.Options     `yaml:"log"`
+	Instance      string             `yaml:"instance"`
+	DataCentre    string             `yaml:"dataCentre"`
+	Service       string             `yaml:"service"`
+	Packets       netip.AddrPort     `yaml:"packets"`
+	Control       netip.AddrPort     `yaml:"control"`
+	Admin         netip.AddrPort     `yaml:"admin"`
+	Fabric        netip.AddrPort     `yaml:"fabric"`
+	Entries       []netip.AddrPort   `yaml:"entries"`
+	ControlRoutes []peer.Route       `yaml:"controlRoutes"`
+	Target        string             `yaml:"target"`
+	Slots         int                `yaml:"slots"`
+	Queue         int                `yaml:"queue"`
+	HashKey       gue.Key            `yaml:"hashKey"`
+	PacketKey     gue.Key            `yaml:"packetKey"`
+	Table         string             `yaml:"table"`
+	KeepAlive     tcpstack.KeepAlive `yaml:"keepAlive"`
+	Drain         caller.DrainLimits `yaml:"drain"`
+	Pprof         bool               `yaml:"pprof"`
+	Log           events.Options     `yaml:"log"`
 }
 
 // Validate returns every fault of the settings.
@@ -53,6 +55,10 @@
 	f.Distinct(map[string]netip.AddrPort{"packets": s.Packets, "fabric": s.Fabric}, "packets", "fabric")
 	f.Require(len(s.Entries) > 0, "entries", "at least one control address of an entry")
 	f.Peers(s.Entries, s.Control, "entries")
+	for i, r := range s.ControlRoutes {
+		f.Address(r.To, settings.Element("controlRoutes", i)+".to")
+		f.Address(r.Via, settings.Element("controlRoutes", i)+".via")
+	}
 	f.URL(s.Target, "target")
 	f.Between(s.Slots, 1, maxSlots, "slots")
 	f.Between(s.Queue, 0, maxQueue, "queue")
--- a/entry/cmd/entry.go
+++ b/entry/cmd/entry.go
@@ -81,7 +81,7 @@
 }
 
 func (e *entry) serve(ctx context.Context) error {
-	pool := &peer.Pool{}
+	pool := &peer.Pool{Routes: e.settings.ControlRoutes}
 	defer pool.Close()
 	spread := &peer.Spread{
 		Self: facts.Member{
--- a/entry/cmd/settings.go
+++ b/entry/cmd/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/coltsfootline/coltsfootline/kernel/events"
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
+	"github.com/coltsfootline/coltsfootline/kernel/peer"
 	"github.com/coltsfootline/coltsfootline/kernel/settings"
 )
 
@@ -12,19 +13,20 @@
 
 // Settings is the entry's settings file.
 type Settings struct {
-	Instance   string           `yaml:"instance"`
-	DataCentre string           `yaml:"dataCentre"`
-	Packets    netip.AddrPort   `yaml:"packets"`
-	Control    netip.AddrPort   `yaml:"control"`
-	Admin      netip.AddrPort   `yaml:"admin"`
-	Peers      []netip.AddrPort `yaml:"peers"`
-	Store      string           `yaml:"store"`
-	HashKey    gue.Key          `yaml:"hashKey"`
-	PacketKey  gue.Key          `yaml:"packetKey"`
-	Workers    int              `yaml:"workers"`
-	Table      string           `yaml:"table"`
-	Pprof      bool             `yaml:"pprof"`
-	Log        events.Options   `yaml:"log"`
+	Instance      string           `yaml:"instance"`
+	DataCentre    string           `yaml:"dataCentre"`
+	Packets       netip.AddrPort   `yaml:"packets"`
+	Control       netip.AddrPort   `yaml:"control"`
+	Admin         netip.AddrPort   `yaml:"admin"`
+	Peers         []netip.AddrPort `yaml:"peers"`
+	ControlRoutes []peer.Route     `yaml:"controlRoutes"`
+	Store         string           `yaml:"store"`
+	HashKey       gue.Key          `yaml:"hashKey"`
+	PacketKey     gue.Key          `yaml:"packetKey"`
+	Workers       int              `yaml:"workers"`
+	Table         string           `yaml:"table"`
+	Pprof         bool             `yaml:"pprof"`
+	Log           events.Options   `yaml:"log"`
 }
 
 // Validate returns every fault of the settings.
@@ -37,6 +39,10 @@
 	f.Address(s.Admin, "admin")
 	f.Distinct(map[string]netip.AddrPort{"control": s.Control, "admin": s.Admin}, "control", "admin")
 	f.Peers(s.Peers, s.Control, "peers")
+	for i, r := range s.ControlRoutes {
+		f.Address(r.To, settings.Element("controlRoutes", i)+".to")
+		f.Address(r.Via, settings.Element("controlRoutes", i)+".via")
+	}
 	f.URL(s.Store, "store")
 	f.Require(s.HashKey != gue.Key{}, "hashKey", "32 hexadecimal digits, not all zero")
 	f.Require(s.PacketKey != gue.Key{}, "packetKey", "32 hexadecimal digits, not all zero")
--- a/kernel/facts/detector.go
+++ b/kernel/facts/detector.go
@@ -58,11 +58,12 @@
 	if d.pausedUntil(now) {
 		return nil
 	}
+	silent := d.silent(now)
+	if 2*len(silent) > len(d.heard) {
+		return nil
+	}
 	var down []Fact
-	for instance, at := range d.heard {
-		if now.Sub(at) < SilenceTimeout || now.Sub(d.others[instance]) < SilenceTimeout {
-			continue
-		}
+	for _, instance := range silent {
 		delete(d.heard, instance)
 		if f, ok := markedDown(s, instance); ok {
 			down = append(down, f)
@@ -71,6 +72,16 @@
 	return down
 }
 
+func (d *Detector) silent(now time.Time) []string {
+	var silent []string
+	for instance, at := range d.heard {
+		if now.Sub(at) >= SilenceTimeout && now.Sub(d.others[instance]) >= SilenceTimeout {
+			silent = append(silent, instance)
+		}
+	}
+	return silent
+}
+
 // pausedUntil reports that this process did not run for a while before now: silence then says nothing
 // about the others, so that each gets a whole timeout anew.
 func (d *Detector) pausedUntil(now time.Time) bool {
--- a/kernel/facts/fact_test.go
+++ b/kernel/facts/fact_test.go
@@ -62,6 +62,7 @@
 	step := SilenceTimeout / 4
 	var down []Fact
 	for i := range 5 {
+		d.Heard("b", begin.Add(time.Duration(i)*step))
 		down = append(down, d.Silent(begin.Add(time.Duration(i)*step), &s)...)
 	}
 	require.Len(t, down, 1)
@@ -94,3 +95,19 @@
 	require.Empty(t, d.Silent(begin, &s))
 	require.Empty(t, d.Silent(begin.Add(10*SilenceTimeout), &s))
 }
+
+// TestCutOffInstanceMarksNobodyDown checks that losing most members at once is taken for an own fault.
+func TestCutOffInstanceMarksNobodyDown(t *testing.T) {
+	var s Set
+	var d Detector
+	begin := time.Unix(1000, 0)
+	for _, instance := range []string{"a", "b", "c"} {
+		member(t, &s, instance)
+		d.Heard(instance, begin)
+	}
+	for i := range 10 {
+		now := begin.Add(time.Duration(i) * SilenceTimeout / 4)
+		d.Heard("a", now)
+		require.Empty(t, d.Silent(now, &s))
+	}
+}
--- a/kernel/peer/client.go
+++ b/kernel/peer/client.go
@@ -34,8 +34,17 @@
 	return e.Cause
 }
 
+// Route says that an instance's control address is reached at another address, such as a relay between data centres.
+type Route struct {
+	To  netip.AddrPort `yaml:"to"`
+	Via netip.AddrPort `yaml:"via"`
+}
+
 // Pool keeps one connection a peer. The zero value is ready to use.
 type Pool struct {
+	// Routes are the peers that are not reached at their own addresses.
+	Routes []Route
+
 	mutex   sync.Mutex
 	clients map[netip.AddrPort]*client
 }
@@ -48,7 +57,7 @@
 // Call sends a request to a peer and decodes its result; errors are CallError.
 func (p *Pool) Call(ctx context.Context, to netip.AddrPort, method string, params, result any) error {
 	c := p.client(to)
-	conn, err := c.connect(ctx, to)
+	conn, err := c.connect(ctx, p.via(to))
 	if err != nil {
 		return errors.WithStack(&CallError{Peer: to, Method: method, Gone: errors.Is(err, syscall.ECONNREFUSED), Cause: err})
 	}
@@ -71,6 +80,15 @@
 	p.clients = nil
 }
 
+func (p *Pool) via(to netip.AddrPort) netip.AddrPort {
+	for _, r := range p.Routes {
+		if r.To == to {
+			return r.Via
+		}
+	}
+	return to
+}
+
 func (p *Pool) client(to netip.AddrPort) *client {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/kernel/settings/values.go
+++ b/kernel/settings/values.go
@@ -39,11 +39,16 @@
 		"a whole number from "+strconv.Itoa(least)+" to "+strconv.Itoa(greatest))
 }
 
+// Element is the key of a list's element.
+func Element(key string, index int) string {
+	return key + "[" + strconv.Itoa(index) + "]"
+}
+
 // Peers requires IPv4 addresses, each once and none of them own.
 func (f *Faults) Peers(peers []netip.AddrPort, own netip.AddrPort, key string) {
 	seen := map[netip.AddrPort]bool{}
 	for i, p := range peers {
-		element := key + "[" + strconv.Itoa(i) + "]"
+		element := Element(key, i)
 		f.Address(p, element)
 		f.Require(p != own, element, "an address other than this instance's own")
 		f.Require(!seen[p], element, "an address that is not listed before")
--- a/rig/caller/load.go
+++ b/rig/caller/load.go
@@ -20,6 +20,8 @@
 	UploadBytes       int     `yaml:"uploadBytes"`
 	// UnrepeatableShare is the share of requests that are POST without an idempotency key.
 	UnrepeatableShare float64 `yaml:"unrepeatableShare"`
+	// RedialShare is the share of requests after which a caller opens a new connection.
+	RedialShare float64 `yaml:"redialShare"`
 }
 
 // request is one drawn request.
@@ -29,6 +31,7 @@
 	bytes        int
 	upload       int
 	unrepeatable bool
+	final        bool
 }
 
 func (l Load) draw(random *rand.Rand) request {
--- a/rig/caller/outcome.go
+++ b/rig/caller/outcome.go
@@ -25,6 +25,8 @@
 	AtMs         int64   `json:"atMs"`
 	Ms           float64 `json:"ms"`
 	Detail       string  `json:"detail,omitempty"`
+	// Final marks the request by which a connection proves at the end that it still works.
+	Final bool `json:"final,omitempty"`
 }
 
 // Summary is what a caller process prints when it ends.
