The rig keeps the records of a failed measurement

Change: the directory stays, and its path is printed, when a promise broke; the proxies' library logs errors only. Conclusion: repeats can now be examined.

--- a/rig/cluster/links.go
+++ b/rig/cluster/links.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/sirupsen/logrus"
 )
 
 // pair is a control link between two nodes, by name.
@@ -20,6 +21,7 @@
 
 // plan makes a proxy for each pair of the named nodes, whose control addresses it chooses.
 func plan(names []string) (*links, error) {
+	logrus.SetLevel(logrus.ErrorLevel)
 	l := &links{controls: map[string]netip.AddrPort{}, proxies: map[pair]*toxiproxy.Proxy{}}
 	addresses, err := freeAddresses(len(names))
 	if err != nil {
--- a/rig/cmd/experiment.go
+++ b/rig/cmd/experiment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"os"
@@ -26,9 +27,7 @@
 	if err != nil {
 		return scenario.Result{}, err
 	}
-	if !e.keep {
-		defer func() { _ = os.RemoveAll(directory) }()
-	}
+	defer e.tidy(directory)
 	programs, err := cluster.Build(ctx, directory)
 	if err != nil {
 		return scenario.Result{}, err
@@ -51,5 +50,16 @@
 	if err := c.Start(ctx); err != nil {
 		return scenario.Result{}, err
 	}
-	return scenario.Run(ctx, c, e.options, e.progress)
+	r, err := scenario.Run(ctx, c, e.options, e.progress)
+	e.keep = e.keep || err != nil || len(r.BrokenPromises) > 0
+	return r, err
+}
+
+// tidy removes the directory, unless it is asked for or shows a failure.
+func (e *experiment) tidy(directory string) {
+	if e.keep {
+		_, _ = fmt.Fprintln(e.progress, "settings, logs and records are in", directory)
+		return
+	}
+	_ = os.RemoveAll(directory)
 }
