--- /dev/null
+++ b/agent/caller/move_test.go
@@ -0,0 +1,146 @@
+package caller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
+)
+
+const (
+	settleTimeout = 10 * time.Second
+	settlePause   = 5 * time.Millisecond
+)
+
+func TestMoveKeepsConnection(t *testing.T) {
+	s := newSite(t, 3)
+	c := s.dial()
+	c.ask()
+	for i := range 9 {
+		from := s.holder()
+		to := (from + 1 + i%2) % 3
+		require.Eventually(t, func() bool { return s.move(from, to) == 1 }, settleTimeout, settlePause)
+		require.Equal(t, s.members[to].Instance, c.ask())
+	}
+}
+
+func TestMoveWithUnreadOctets(t *testing.T) {
+	s := newSite(t, 2)
+	c := s.dial()
+	c.ask()
+	from := s.holder()
+	s.agents[from].wantAll()
+	done := make(chan string, 1)
+	go func() { done <- c.ask() }()
+	require.Eventually(t, func() bool { return s.move(from, 1-from) == 1 }, settleTimeout, settlePause)
+	require.Equal(t, s.members[1-from].Instance, <-done)
+}
+
+// TestMoveUnderLostMessages loses offers, grants and queries or their answers in every combination that is drawn:
+// at no time do two agents answer, and the connection always comes to life again.
+func TestMoveUnderLostMessages(t *testing.T) {
+	methods := []string{MethodOffer, MethodGrant, MethodQuery, MethodLocate, MethodAnnounce}
+	s := newSite(t, 2)
+	c := s.dial()
+	c.ask()
+	rapid.Check(t, func(r *rapid.T) {
+		for _, m := range methods {
+			for range rapid.IntRange(0, 2).Draw(r, m) {
+				s.wire.plan(m, rapid.SampledFrom([]fate{fateDelivered, fateRequestLost, fateReplyLost}).Draw(r, m+"Fate"))
+			}
+		}
+		from := s.holder()
+		if from >= 0 {
+			s.move(from, 1-from)
+		}
+		s.holder()
+		c.ask()
+		require.Eventually(t, func() bool { return s.holder() >= 0 }, settleTimeout, settlePause)
+	})
+}
+
+// TestMoveToGoneAgent checks that a flow stays when the agent it is offered to has died.
+func TestMoveToGoneAgent(t *testing.T) {
+	s := newSite(t, 2)
+	c := s.dial()
+	c.ask()
+	from := s.holder()
+	s.wire.plan(MethodOffer, fateGone)
+	require.Equal(t, 0, s.move(from, 1-from))
+	require.Equal(t, s.members[from].Instance, c.ask())
+}
+
+// TestLateGrantIsRefused checks that an offer taken back can't be granted later.
+func TestLateGrantIsRefused(t *testing.T) {
+	s := newSite(t, 2)
+	c := s.dial()
+	c.ask()
+	from := s.holder()
+	s.wire.plan(MethodOffer, fateReplyLost)
+	require.Equal(t, 0, s.move(from, 1-from))
+	var key gue.Flow
+	for _, f := range s.agents[from].flows.all() {
+		key = f.key
+	}
+	_, err := s.agents[1-from].Query(s.ctx, QueryRequest{Flows: []FlowEpoch{{Flow: key, Epoch: 2}}})
+	require.NoError(t, err)
+	require.Equal(t, VerdictAborted, s.agents[from].verdict(FlowEpoch{Flow: key, Epoch: 2}))
+	require.Equal(t, s.members[from].Instance, c.ask())
+}
+
+// TestUnknownFlowIsReset checks that a caller learns at once that nobody holds its connection.
+func TestUnknownFlowIsReset(t *testing.T) {
+	s := newSite(t, 2)
+	c := s.dial()
+	c.ask()
+	for _, a := range s.agents {
+		for _, f := range a.flows.all() {
+			f.mutex.Lock()
+			a.drop(f)
+			f.mutex.Unlock()
+		}
+	}
+	require.NoError(t, c.socket.SetDeadline(time.Now().Add(settleTimeout)))
+	_, err := c.socket.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+	require.NoError(t, err)
+	_, err = c.reader.ReadByte()
+	require.ErrorContains(t, err, "reset")
+}
+
+// TestSilentAgentMayHoldFlow checks that nobody resets a flow while an agent that may hold it doesn't answer.
+func TestSilentAgentMayHoldFlow(t *testing.T) {
+	s := newSite(t, 2)
+	c := s.dial()
+	c.ask()
+	from := s.holder()
+	other := s.agents[1-from]
+	for _, f := range other.flows.all() {
+		f.mutex.Lock()
+		other.drop(f)
+		f.mutex.Unlock()
+	}
+	s.wire.plan(MethodLocate, fateRequestLost, fateReplyLost, fateRequestLost)
+	require.Equal(t, s.members[from].Instance, c.ask())
+	require.Zero(t, other.Counters.Resets.Get())
+}
+
+// TestDrainMovesConnections checks that a drained agent's connections go on elsewhere.
+func TestDrainMovesConnections(t *testing.T) {
+	s := newSite(t, 2)
+	clients := make([]*client, 20)
+	for i := range clients {
+		clients[i] = s.dial()
+		clients[i].ask()
+	}
+	s.setRoute(s.members[1:])
+	refused := make(chan struct{})
+	s.agents[0].Drain(s.ctx, DrainLimits{Grace: time.Minute, Limit: 2 * time.Minute}, func() { close(refused) })
+	require.Zero(t, s.agents[0].Open())
+	require.Zero(t, s.agents[0].Counters.Ended.Get())
+	for _, c := range clients {
+		require.Equal(t, s.members[1].Instance, c.ask())
+	}
+}
--- /dev/null
+++ b/entry/fabric/forwarder_test.go
@@ -0,0 +1,157 @@
+package fabric
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/net/ipv4"
+
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
+)
+
+const (
+	receiveTimeout  = 5 * time.Second
+	benchmarkWindow = 256
+	benchmarkBytes  = 100
+)
+
+func openSocket(t testing.TB) *net.UDPConn {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	_ = c.SetReadBuffer(socketBufferBytes)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func addressOf(c *net.UDPConn) netip.AddrPort {
+	return c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func freeAddress(t testing.TB) netip.AddrPort {
+	t.Helper()
+	c := openSocket(t)
+	a := addressOf(c)
+	require.NoError(t, c.Close())
+	return a
+}
+
+func startForwarder(t testing.TB, to netip.AddrPort) *Forwarder {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	f := &Forwarder{
+		Listen:   freeAddress(t),
+		Workers:  1,
+		Keys:     testKeys,
+		Counters: NewCounters(metrics.NewSet()),
+		Logger:   slog.New(slog.DiscardHandler),
+	}
+	f.SetRoutes(routesTo(to, 2, 7))
+	require.NoError(t, f.Start(ctx))
+	return f
+}
+
+func TestForwarderCountsWhatItDrops(t *testing.T) {
+	agent := openSocket(t)
+	f := startForwarder(t, addressOf(agent))
+	sender := openSocket(t)
+	good := packetFor([4]byte{10, 9, 0, 1}, 1024, 10)[gue.HeaderLength:]
+	fragment := append([]byte(nil), good...)
+	fragment[6] = 0x20
+	stranger := packetFor([4]byte{10, 9, 7, 7}, 1024, 10)[gue.HeaderLength:]
+	for _, p := range [][]byte{fragment, stranger, good[:10], good} {
+		_, err := sender.WriteToUDPAddrPort(p, f.Listen)
+		require.NoError(t, err)
+	}
+	require.NoError(t, agent.SetReadDeadline(time.Now().Add(receiveTimeout)))
+	b := make([]byte, bufferBytes)
+	n, err := agent.Read(b)
+	require.NoError(t, err)
+	_, inner, reason := gue.ParseHeader(b[:n], testKeys.Packet)
+	require.Equal(t, gue.ReasonNone, reason)
+	require.Equal(t, good, inner)
+	require.Equal(t, uint64(1), f.Counters.Dropped(gue.ReasonFragment))
+	require.Equal(t, uint64(1), f.Counters.Dropped(gue.ReasonUnknownAddress))
+	require.Equal(t, uint64(1), f.Counters.Dropped(gue.ReasonShort))
+}
+
+// relay is the baseline: it moves datagrams in batches and looks at none.
+type relay struct {
+	packets *ipv4.PacketConn
+	to      *net.UDPAddr
+}
+
+func (r *relay) run() {
+	messages := make([]ipv4.Message, batchLength)
+	for i := range messages {
+		messages[i].Buffers = [][]byte{make([]byte, bufferBytes)}
+	}
+	out := make([]ipv4.Message, batchLength)
+	for {
+		n, err := r.packets.ReadBatch(messages, 0)
+		if err != nil {
+			return
+		}
+		for i := range n {
+			out[i].Buffers = [][]byte{messages[i].Buffers[0][:messages[i].N]}
+			out[i].Addr = r.to
+		}
+		for done := 0; done < n; {
+			sent, err := r.packets.WriteBatch(out[done:n], 0)
+			if err != nil {
+				return
+			}
+			done += sent
+		}
+	}
+}
+
+// pump sends packets through to and back to sink, no more than a window at once, and reports packets a second.
+func pump(b *testing.B, to netip.AddrPort, sink *net.UDPConn) {
+	sender := ipv4.NewPacketConn(openSocket(b))
+	receiver := ipv4.NewPacketConn(sink)
+	out := make([]ipv4.Message, batchLength)
+	for i := range out {
+		packet := packetFor([4]byte{10, 9, 0, 1}, uint16(1024+i), benchmarkBytes)[gue.HeaderLength:]
+		out[i] = ipv4.Message{Buffers: [][]byte{packet}, Addr: net.UDPAddrFromAddrPort(to)}
+	}
+	in := make([]ipv4.Message, batchLength)
+	for i := range in {
+		in[i].Buffers = [][]byte{make([]byte, bufferBytes)}
+	}
+	sent, received := 0, 0
+	b.ResetTimer()
+	for received < b.N {
+		for sent < b.N && sent-received < benchmarkWindow {
+			n, err := sender.WriteBatch(out[:min(batchLength, b.N-sent)], 0)
+			require.NoError(b, err)
+			sent += n
+		}
+		require.NoError(b, sink.SetReadDeadline(time.Now().Add(receiveTimeout)))
+		n, err := receiver.ReadBatch(in, 0)
+		require.NoError(b, err)
+		received += n
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "packets/s")
+}
+
+// BenchmarkThroughput compares one forwarder with a bare relay in the same run.
+func BenchmarkThroughput(b *testing.B) {
+	b.Run("relay", func(b *testing.B) {
+		sink := openSocket(b)
+		c := openSocket(b)
+		go (&relay{packets: ipv4.NewPacketConn(c), to: sink.LocalAddr().(*net.UDPAddr)}).run()
+		pump(b, addressOf(c), sink)
+	})
+	b.Run("entry", func(b *testing.B) {
+		sink := openSocket(b)
+		pump(b, startForwarder(b, addressOf(sink)).Listen, sink)
+	})
+}
