A silent control connection is given up after a call that timed out

Cause: the pool kept a connection whose calls timed out; one that a middle box has forgotten stays silent for good, so that an instance would hear nothing from a peer although new connections work. Ruled out: TCP keep-alive (its default needs minutes). Change: a call that reaches its deadline closes the connection; the next call opens another.

--- a/agent/caller/harness_test.go
+++ b/agent/caller/harness_test.go
@@ -126,7 +126,7 @@
 
 // site is some agents of one service, a caller's stack, and a fabric that sprays packets over the agents.
 type site struct {
-	t       *testing.T
+	t       testing.TB
 	wire    *wire
 	agents  []*Terminator
 	members []facts.Member
@@ -135,7 +135,7 @@
 	ctx     context.Context
 }
 
-func newSite(t *testing.T, agents int) *site {
+func newSite(t testing.TB, agents int) *site {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -153,7 +153,7 @@
 	return s
 }
 
-func listen(t *testing.T) *net.UDPConn {
+func listen(t testing.TB) *net.UDPConn {
 	t.Helper()
 	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
@@ -221,7 +221,7 @@
 
 // client is a connection of the caller.
 type client struct {
-	t      *testing.T
+	t      testing.TB
 	socket net.Conn
 	reader *bufio.Reader
 	asked  int
--- a/entry/fabric/forwarder_test.go
+++ b/entry/fabric/forwarder_test.go
@@ -94,14 +94,17 @@
 		messages[i].Buffers = [][]byte{make([]byte, bufferBytes)}
 	}
 	out := make([]ipv4.Message, batchLength)
+	for i := range out {
+		out[i].Buffers = make([][]byte, 1)
+		out[i].Addr = r.to
+	}
 	for {
 		n, err := r.packets.ReadBatch(messages, 0)
 		if err != nil {
 			return
 		}
 		for i := range n {
-			out[i].Buffers = [][]byte{messages[i].Buffers[0][:messages[i].N]}
-			out[i].Addr = r.to
+			out[i].Buffers[0] = messages[i].Buffers[0][:messages[i].N]
 		}
 		for done := 0; done < n; {
 			sent, err := r.packets.WriteBatch(out[done:n], 0)
--- a/kernel/peer/client.go
+++ b/kernel/peer/client.go
@@ -62,7 +62,7 @@
 		return errors.WithStack(&CallError{Peer: to, Method: method, Gone: errors.Is(err, syscall.ECONNREFUSED), Cause: err})
 	}
 	if err := conn.Call(ctx, method, params, result); err != nil {
-		if errors.Is(err, jsonrpc2.ErrClosed) {
+		if errors.Is(err, jsonrpc2.ErrClosed) || errors.Is(err, context.DeadlineExceeded) {
 			c.forget(conn)
 		}
 		return errors.WithStack(&CallError{Peer: to, Method: method, Cause: err})
@@ -122,10 +122,12 @@
 	return c.conn, nil
 }
 
+// forget gives up a connection that is closed or silent; the next call opens another.
 func (c *client) forget(conn *jsonrpc2.Conn) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.conn == conn {
+		_ = conn.Close()
 		c.conn = nil
 	}
 }
