A drained agent goes on forwarding until entries stop sending to it

Cause: an agent ended a fixed 2 s after its drain; an entry that had not heard of it went on sending a share of the packets to an address where nobody listens. Ruled out: asking every entry for its version (needs the very links that are cut).

--- a/agent/caller/mover.go
+++ b/agent/caller/mover.go
@@ -11,6 +11,7 @@
 
 const (
 	movePause     = 10 * time.Millisecond
+	lingerPause   = 100 * time.Millisecond
 	grantsTimeout = 10 * time.Second
 )
 
@@ -20,6 +21,28 @@
 	Grace time.Duration `yaml:"grace"`
 	// Limit is when connections that could not move are ended at their request boundaries.
 	Limit time.Duration `yaml:"limit"`
+	// Linger bounds how long the agent goes on forwarding packets that entries with older tables still send to it.
+	Linger time.Duration `yaml:"linger"`
+}
+
+// quietTime is how long no entry may have sent a packet before an agent that holds nothing may end.
+const quietTime = 3 * time.Second
+
+// quiet decides whether an agent that began to linger may end: every entry has learned that it left, or the bound is reached.
+func (l DrainLimits) quiet(now, begun, lastFromEntry time.Time) bool {
+	last := begun
+	if lastFromEntry.After(begun) {
+		last = lastFromEntry
+	}
+	return now.Sub(last) >= quietTime || now.Sub(begun) >= l.Linger
+}
+
+// Linger forwards packets until no entry sends any here, or until the bound.
+func (t *Terminator) Linger(ctx context.Context, limits DrainLimits) {
+	begun := time.Now()
+	for ctx.Err() == nil && !limits.quiet(time.Now(), begun, time.Unix(0, t.lastDirect.Load())) {
+		pause(ctx, lingerPause)
+	}
 }
 
 // Destination chooses the agent that a flow moves to.
--- a/agent/caller/receiver.go
+++ b/agent/caller/receiver.go
@@ -58,6 +58,9 @@
 		t.Counters.drop(reason)
 		return
 	}
+	if h.Hops == 0 {
+		t.lastDirect.Store(now.UnixNano())
+	}
 	t.deliver(arrival{datagram: datagram, header: h, packet: p, inner: inner}, now)
 }
 
--- a/agent/caller/terminator.go
+++ b/agent/caller/terminator.go
@@ -54,8 +54,10 @@
 	former  atomic.Pointer[[]formerRoute]
 	stack   atomic.Pointer[tcpstack.Stack]
 	drained atomic.Bool
-	locator locator
-	granter granter
+	// lastDirect is when an entry last sent a packet here, in Unix nanoseconds.
+	lastDirect atomic.Int64
+	locator    locator
+	granter    granter
 }
 
 // formerRoute is a route that was in force until a time not long ago.
--- a/agent/cmd/agent.go
+++ b/agent/cmd/agent.go
@@ -22,10 +22,7 @@
 	"github.com/coltsfootline/coltsfootline/kernel/table"
 )
 
-const (
-	socketBufferBytes = 8 << 20
-	leaveLinger       = 2 * time.Second
-)
+const socketBufferBytes = 8 << 20
 
 // Main runs the agent's command line and returns the exit code.
 func Main(arguments []string, out, errorOut io.Writer) int {
@@ -173,5 +170,5 @@
 	a.spread.Do(ctx, func(now time.Time) { a.spread.SetState(now, facts.StateDraining) })
 	a.terminator.Drain(ctx, a.settings.Drain, a.dispatcher.Refuse)
 	a.spread.Do(ctx, func(now time.Time) { a.spread.SetState(now, facts.StateLeft) })
-	time.Sleep(leaveLinger)
+	a.terminator.Linger(ctx, a.settings.Drain)
 }
--- a/agent/cmd/settings.go
+++ b/agent/cmd/settings.go
@@ -69,6 +69,7 @@
 	f.Between(s.KeepAlive.Count, 1, 100, "keepAlive.count")
 	f.Require(s.Drain.Grace >= 0, "drain.grace", "a duration of 0s or more")
 	f.Require(s.Drain.Limit > s.Drain.Grace, "drain.limit", "a duration above drain.grace")
+	f.Require(s.Drain.Linger >= 0, "drain.linger", "a duration of 0s or more")
 	f.LogFormat(s.Log.Format, "log.format")
 	return f
 }
@@ -87,6 +88,6 @@
 		Queue:     10000,
 		Table:     "rendezvous",
 		KeepAlive: tcpstack.KeepAlive{Idle: 15 * time.Second, Interval: 5 * time.Second, Count: 3},
-		Drain:     caller.DrainLimits{Grace: 3 * time.Second, Limit: 60 * time.Second},
+		Drain:     caller.DrainLimits{Grace: 3 * time.Second, Limit: 60 * time.Second, Linger: 30 * time.Second},
 	}
 }
--- a/rig/scenario/judge.go
+++ b/rig/scenario/judge.go
@@ -145,6 +145,9 @@
 		r.CrossedAnswers++
 	case caller.KindCut:
 		r.CutAnswers++
+	case caller.KindBroken:
+		r.Unknown++
+		r.SlowestEndMs = max(r.SlowestEndMs, o.Ms)
 	default:
 		r.Unknown++
 	}
--- a/rig/scenario/result.go
+++ b/rig/scenario/result.go
@@ -3,30 +3,33 @@
 
 // Result is the JSON object that a measurement prints.
 type Result struct {
-	Scenario           string   `json:"scenario"`
-	Seed               uint64   `json:"seed"`
-	Policy             string   `json:"policy"`
-	Size               string   `json:"size"`
-	Connections        int      `json:"connections"`
-	OpenAtEnd          int      `json:"openAtEnd"`
-	BrokenConnections  int      `json:"brokenConnections"`
-	Requests           int      `json:"requests"`
-	Answered           int      `json:"answered"`
-	NotRun             int      `json:"notRun"`
-	Unknown            int      `json:"unknown"`
-	WrongService       int      `json:"wrongService"`
-	CrossedAnswers     int      `json:"crossedAnswers"`
-	CutAnswers         int      `json:"cutAnswers"`
-	NotRunButRan       int      `json:"notRunButRan"`
-	RanTwice           int      `json:"ranTwice"`
-	SlotsExceeded      int      `json:"slotsExceeded"`
-	Moved              *int     `json:"moved,omitempty"`
-	LateWorkOnRetiring *int     `json:"lateWorkOnRetiring,omitempty"`
-	CutByDrain         *int     `json:"cutByDrain,omitempty"`
-	Imbalance          float64  `json:"imbalance"`
-	ShortP50Ms         float64  `json:"shortP50Ms"`
-	ShortP99Ms         float64  `json:"shortP99Ms"`
-	LongP99Ms          *float64 `json:"longP99Ms,omitempty"`
+	Scenario           string `json:"scenario"`
+	Seed               uint64 `json:"seed"`
+	Policy             string `json:"policy"`
+	Size               string `json:"size"`
+	Connections        int    `json:"connections"`
+	OpenAtEnd          int    `json:"openAtEnd"`
+	BrokenConnections  int    `json:"brokenConnections"`
+	Requests           int    `json:"requests"`
+	Answered           int    `json:"answered"`
+	NotRun             int    `json:"notRun"`
+	Unknown            int    `json:"unknown"`
+	WrongService       int    `json:"wrongService"`
+	CrossedAnswers     int    `json:"crossedAnswers"`
+	CutAnswers         int    `json:"cutAnswers"`
+	NotRunButRan       int    `json:"notRunButRan"`
+	RanTwice           int    `json:"ranTwice"`
+	SlotsExceeded      int    `json:"slotsExceeded"`
+	Moved              *int   `json:"moved,omitempty"`
+	LateWorkOnRetiring *int   `json:"lateWorkOnRetiring,omitempty"`
+	CutByDrain         *int   `json:"cutByDrain,omitempty"`
+	// SlowestEndMs is the longest that a caller waited before it learned that its connection had ended.
+	SlowestEndMs float64  `json:"slowestEndMs"`
+	DialFailed   int      `json:"dialFailed"`
+	Imbalance    float64  `json:"imbalance"`
+	ShortP50Ms   float64  `json:"shortP50Ms"`
+	ShortP99Ms   float64  `json:"shortP99Ms"`
+	LongP99Ms    *float64 `json:"longP99Ms,omitempty"`
 	// BrokenPromises says which bounds of the scenario were passed.
 	BrokenPromises []string `json:"brokenPromises"`
 }
--- a/rig/scenario/scenario.go
+++ b/rig/scenario/scenario.go
@@ -190,6 +190,7 @@
 		r.Connections += s.Connections
 		r.BrokenConnections += s.Broken
 		r.OpenAtEnd += s.OpenAtEnd
+		r.DialFailed += s.DialFailed
 	}
 	return nil
 }
--- a/rig/scenario/silent.go
+++ b/rig/scenario/silent.go
@@ -49,6 +49,10 @@
 	return nil
 }
 
+// learnedOneWay bounds how long a caller whose packets alone are swallowed may wait: the agent notices the silence
+// within its keep-alive time and resets the connection.
+const learnedOneWay = 8 * time.Second
+
 // checkSilent requires that agents let go of the forgotten connections and that callers ended with working ones.
 func checkSilent(e *Experiment, r *Result) {
 	if e.HeldAfter > r.Connections {
@@ -60,6 +64,9 @@
 	if r.BrokenConnections > r.Connections {
 		r.BrokenPromises = append(r.BrokenPromises, "newConnectionsEnded")
 	}
+	if e.Options.Seed%2 == 0 && r.SlowestEndMs > float64(learnedOneWay.Milliseconds()) {
+		r.BrokenPromises = append(r.BrokenPromises, "learnedLate")
+	}
 	if r.OpenAtEnd != r.Connections {
 		r.BrokenPromises = append(r.BrokenPromises, "notOpenAtEnd")
 	}
