Agents hand requests over: even busy slots under unequal connections

Ruled out: handing over only when the own slots are full (policy idle stays selectable): it evens out crests, not work. Change: agents tell each other their load (six peers, ten times a second); the policy is a pure function of the own and the others' loads, registered by name (hash, idle, even); a request goes at most once to another agent, which starts it at once or refuses; an answer that is lost is settled by cancel-if-not-started.

--- a/agent/cmd/agent.go
+++ b/agent/cmd/agent.go
@@ -5,18 +5,21 @@
 	"context"
 	"io"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
 	"github.com/coltsfootline/coltsfootline/agent/caller"
+	"github.com/coltsfootline/coltsfootline/agent/replica"
 	"github.com/coltsfootline/coltsfootline/agent/target"
 	"github.com/coltsfootline/coltsfootline/kernel/command"
 	"github.com/coltsfootline/coltsfootline/kernel/events"
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
 	"github.com/coltsfootline/coltsfootline/kernel/peer"
+	"github.com/coltsfootline/coltsfootline/kernel/placement"
 	"github.com/coltsfootline/coltsfootline/kernel/process"
 	"github.com/coltsfootline/coltsfootline/kernel/services"
 	"github.com/coltsfootline/coltsfootline/kernel/table"
@@ -43,6 +46,7 @@
 		command.CanListenUDP("packets", s.Packets),
 		command.CanListenTCP("control", s.Control),
 		command.CanListenTCP("admin", s.Admin),
+		command.CanListenTCP("requests", s.Requests),
 		command.CanConnect("target", s.targetURL().Host),
 	}
 	for _, e := range s.Entries {
@@ -56,10 +60,15 @@
 	if err != nil {
 		return err
 	}
+	policy, err := placement.Policies.Get(s.Policy)
+	if err != nil {
+		return err
+	}
 	logger := events.NewLogger(logs, s.Log, s.Instance)
 	a := &agent{
 		settings: s,
 		builder:  builder,
+		policy:   policy,
 		process:  &process.Process{Admin: s.Admin, Pprof: s.Pprof, Logger: logger},
 		pool:     &peer.Pool{Routes: s.ControlRoutes},
 	}
@@ -70,6 +79,9 @@
 type agent struct {
 	settings   *Settings
 	builder    table.Builder
+	policy     placement.Policy
+	loads      replica.Loads
+	registry   replica.Registry
 	process    *process.Process
 	pool       *peer.Pool
 	dispatcher *target.Dispatcher
@@ -88,6 +100,7 @@
 		Service:    a.settings.Service,
 		Packets:    a.settings.Packets,
 		Control:    a.settings.Control,
+		Requests:   a.settings.Requests,
 		State:      facts.StateServing,
 	}
 }
@@ -120,7 +133,8 @@
 	context.AfterFunc(ctx, func() { _ = socket.Close() })
 	a.dispatcher = &target.Dispatcher{
 		Target:   a.settings.targetURL(),
-		Slots:    &target.Slots{Count: a.settings.Slots, Queue: a.settings.Queue},
+		Slots:    &target.Slots{Instance: a.settings.Instance, Count: a.settings.Slots, Queue: a.settings.Queue},
+		HandOver: a.handOver(),
 		Counters: target.NewCounters(metrics.GetDefaultSet()),
 		Logger:   a.process.Logger,
 	}
@@ -145,10 +159,53 @@
 		OnChange:    a.onChange,
 	}
 	a.spread.Start(ctx)
+	if err := a.startReplica(ctx); err != nil {
+		return err
+	}
 	server := &peer.Server{Address: a.settings.Control, Handlers: a.handlers(), Logger: a.process.Logger}
 	return server.Start(ctx)
 }
 
+func (a *agent) handOver() *replica.HandOver {
+	return &replica.HandOver{
+		Instance: a.settings.Instance,
+		Policy:   a.policy,
+		Loads:    &a.loads,
+		Controls: a.controlOf,
+		Caller:   a.pool,
+		Counters: replica.NewCounters(metrics.GetDefaultSet()),
+		Logger:   a.process.Logger,
+	}
+}
+
+// startReplica begins to tell the load and to take requests from the other agents of the service.
+func (a *agent) startReplica(ctx context.Context) error {
+	t := &replica.Teller{Self: a.self(), Notifier: a.pool, Load: a.dispatcher.Slots.Load, Members: a.siblings}
+	t.Start(ctx)
+	s := &replica.Server{Address: a.settings.Requests, Runner: a.dispatcher, Registry: &a.registry}
+	return s.Start(ctx)
+}
+
+// siblings lists the agents of the same service.
+func (a *agent) siblings() []facts.Member {
+	var all []facts.Member
+	for _, m := range a.spread.View().Members {
+		if m.Role == facts.RoleAgent && m.Service == a.settings.Service {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+func (a *agent) controlOf(instance string) (netip.AddrPort, bool) {
+	for _, m := range a.siblings() {
+		if m.Instance == instance {
+			return m.Control, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
 // onChange runs on the control thread.
 func (a *agent) onChange(now time.Time, v *peer.View) {
 	service, ok := v.Services.Find(a.settings.Service)
--- a/agent/cmd/handlers.go
+++ b/agent/cmd/handlers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/coltsfootline/coltsfootline/agent/caller"
+	"github.com/coltsfootline/coltsfootline/agent/replica"
 	"github.com/coltsfootline/coltsfootline/kernel/peer"
 )
 
@@ -16,6 +17,8 @@
 		caller.MethodOffer:    peer.Handle(a.terminator.Offer),
 		caller.MethodGrant:    peer.Handle(a.terminator.Grant),
 		caller.MethodQuery:    peer.Handle(a.terminator.Query),
+		replica.MethodTell:    peer.Handle(a.loads.Tell),
+		replica.MethodCancel:  peer.Handle(a.registry.Answer),
 		peer.MethodDrain:      peer.Handle(a.askDrain),
 		peer.MethodMove:       peer.Handle(a.move),
 		peer.MethodStatus:     peer.Handle(a.status),
@@ -41,12 +44,12 @@
 }
 
 func (a *agent) status(_ context.Context, _ peer.StatusRequest) (peer.StatusReply, error) {
-	busy, waiting := a.dispatcher.Slots.Busy()
+	load := a.dispatcher.Slots.Load(time.Now())
 	return peer.StatusReply{
 		Instance: a.settings.Instance,
 		Digest:   a.spread.View().Digest,
 		Open:     a.terminator.Open(),
-		Busy:     busy,
-		Waiting:  waiting,
+		Busy:     load.Busy,
+		Waiting:  load.Waiting,
 	}, nil
 }
--- a/agent/cmd/settings.go
+++ b/agent/cmd/settings.go
@@ -9,7 +9,9 @@
 	"github.com/coltsfootline/coltsfootline/kernel/events"
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
 	"github.com/coltsfootline/coltsfootline/kernel/peer"
+	"github.com/coltsfootline/coltsfootline/kernel/placement"
 	"github.com/coltsfootline/coltsfootline/kernel/settings"
+	"github.com/coltsfootline/coltsfootline/kernel/table"
 	"github.com/coltsfootline/coltsfootline/kernel/tcpstack"
 )
 
@@ -26,6 +28,8 @@
 	Packets       netip.AddrPort     `yaml:"packets"`
 	Control       netip.AddrPort     `yaml:"control"`
 	Admin         netip.AddrPort     `yaml:"admin"`
+	Requests      netip.AddrPort     `yaml:"requests"`
+	Policy        string             `yaml:"policy"`
 	Fabric        netip.AddrPort     `yaml:"fabric"`
 	Entries       []netip.AddrPort   `yaml:"entries"`
 	ControlRoutes []peer.Route       `yaml:"controlRoutes"`
@@ -50,8 +54,10 @@
 	f.Address(s.Packets, "packets")
 	f.Address(s.Control, "control")
 	f.Address(s.Admin, "admin")
+	f.Address(s.Requests, "requests")
 	f.Address(s.Fabric, "fabric")
-	f.Distinct(map[string]netip.AddrPort{"control": s.Control, "admin": s.Admin}, "control", "admin")
+	listened := map[string]netip.AddrPort{"control": s.Control, "admin": s.Admin, "requests": s.Requests}
+	f.Distinct(listened, "control", "admin", "requests")
 	f.Distinct(map[string]netip.AddrPort{"packets": s.Packets, "fabric": s.Fabric}, "packets", "fabric")
 	f.Require(len(s.Entries) > 0, "entries", "at least one control address of an entry")
 	f.Peers(s.Entries, s.Control, "entries")
@@ -86,7 +92,8 @@
 	return &Settings{
 		Slots:     4,
 		Queue:     10000,
-		Table:     "rendezvous",
+		Table:     table.Default,
+		Policy:    placement.Default,
 		KeepAlive: tcpstack.KeepAlive{Idle: 15 * time.Second, Interval: 5 * time.Second, Count: 3},
 		Drain:     caller.DrainLimits{Grace: 3 * time.Second, Limit: 60 * time.Second, Linger: 30 * time.Second},
 	}
--- /dev/null
+++ b/agent/replica/server.go
@@ -0,0 +1,68 @@
+package replica
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/coltsfootline/coltsfootline/kernel/process"
+)
+
+// Runner runs a handed-over request; started reports, once a slot is held, whether it may begin.
+type Runner interface {
+	ServeHandedOver(ctx context.Context, r *http.Request, started func() bool) (response *http.Response, ran bool)
+}
+
+// Server takes requests that other agents hand over. Set the exported fields, then Start.
+type Server struct {
+	Address  netip.AddrPort
+	Runner   Runner
+	Registry *Registry
+
+	server *http.Server
+}
+
+// Start listens and serves until ctx ends.
+func (s *Server) Start(ctx context.Context) error {
+	l, err := net.Listen("tcp4", s.Address.String())
+	if err != nil {
+		return errors.WithStack(&process.ListenError{Address: s.Address.String(), Cause: err})
+	}
+	s.server = &http.Server{Handler: s, ReadHeaderTimeout: connectTimeout * 10}
+	context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	go s.run(l)
+	return nil
+}
+
+func (s *Server) run(l net.Listener) {
+	// Serve returns when ctx ended; without it requests stay with their agents.
+	_ = s.server.Serve(l)
+}
+
+// ServeHTTP runs one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(IDHeader)
+	r.Header.Del(IDHeader)
+	if id == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	response, ran := s.Runner.ServeHandedOver(r.Context(), r, func() bool { return s.Registry.Start(time.Now(), id) })
+	defer func() { _ = response.Body.Close() }()
+	for name, values := range response.Header {
+		w.Header()[name] = values
+	}
+	if !ran {
+		w.Header().Set(OutcomeHeader, outcomeNotRun)
+	}
+	w.WriteHeader(response.StatusCode)
+	if _, err := io.Copy(w, response.Body); err != nil {
+		// The answer was cut: so must the other agent's be.
+		panic(http.ErrAbortHandler)
+	}
+}
--- a/agent/target/dispatcher.go
+++ b/agent/target/dispatcher.go
@@ -14,6 +14,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/coltsfootline/coltsfootline/agent/replica"
 	"github.com/coltsfootline/coltsfootline/kernel/events"
 )
 
@@ -33,8 +34,10 @@
 
 // Dispatcher gives requests to one target. Set the exported fields before use.
 type Dispatcher struct {
-	Target   *url.URL
-	Slots    *Slots
+	Target *url.URL
+	Slots  *Slots
+	// HandOver finds other agents to run requests; nil keeps every request here.
+	HandOver *replica.HandOver
 	Counters *Counters
 	Logger   *slog.Logger
 
@@ -63,24 +66,48 @@
 	d.refusing.Store(true)
 }
 
-// Serve runs a request on the target when a slot is free and returns its answer, or a problem document.
-// The slot is held until the response's body is closed.
+// Serve runs a request on the target when a slot is free, or has another agent run it, and returns the answer or a
+// problem document. What the request holds is held until the response's body is closed.
 func (d *Dispatcher) Serve(ctx context.Context, r *http.Request) *http.Response {
 	ctx, cancel := withDeadline(ctx, r)
-	if d.refusing.Load() {
+	q := &queued{dispatcher: d, request: r}
+	if err := q.buffer(); err != nil {
 		cancel()
-		return d.refuse(ReasonDraining)
+		return d.refuse(ReasonCancelled)
 	}
-	if reason := d.Slots.Acquire(ctx); reason != "" {
-		cancel()
-		return d.refuse(reason)
-	}
-	release := &releaser{slots: d.Slots, cancel: cancel}
+	response := q.serve(ctx)
+	response.Body = &finalBody{ReadCloser: response.Body, finish: cancel}
+	return response
+}
+
+// runHere runs a request for which a slot is held.
+func (d *Dispatcher) runHere(ctx context.Context, r *http.Request) (response *http.Response, ran bool) {
 	body := &lentBody{body: r.Body}
 	r.Body = body
-	response := d.run(ctx, r)
-	response.Body = &releasingBody{ReadCloser: response.Body, releaser: release, lent: body}
-	return response
+	response, ran = d.run(ctx, r)
+	finish := func() {
+		body.takeBack()
+		d.Slots.Release()
+	}
+	response.Body = &finalBody{ReadCloser: response.Body, finish: finish}
+	return response, ran
+}
+
+// ServeHandedOver runs a request that another agent handed over, if a slot is free at once and started agrees.
+func (d *Dispatcher) ServeHandedOver(ctx context.Context, r *http.Request, started func() bool) (*http.Response, bool) {
+	ctx, cancel := withDeadline(ctx, r)
+	if d.refusing.Load() || !d.Slots.TryAcquire(time.Now()) {
+		cancel()
+		return notRun(ReasonQueueFull, retryAfterDefault), false
+	}
+	if !started() {
+		d.Slots.Release()
+		cancel()
+		return notRun(ReasonCancelled, retryAfterDefault), false
+	}
+	response, ran := d.runHere(ctx, r)
+	response.Body = &finalBody{ReadCloser: response.Body, finish: cancel}
+	return response, ran
 }
 
 func (d *Dispatcher) refuse(reason Reason) *http.Response {
@@ -98,7 +125,7 @@
 
 // run sends the request once. Each request has a connection of its own, so that a failure before its first
 // octet left is told from one after.
-func (d *Dispatcher) run(ctx context.Context, r *http.Request) *http.Response {
+func (d *Dispatcher) run(ctx context.Context, r *http.Request) (response *http.Response, ran bool) {
 	d.setUp.Do(func() {
 		d.transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true, DialContext: dialCounted}
 	})
@@ -108,14 +135,18 @@
 	if err == nil {
 		d.Counters.Answered.Inc()
 		forCaller(response)
-		return response
+		return response, true
 	}
 	events.TargetFailed.Log(d.Logger, events.Failure(err))
 	if sent.count.Load() == 0 {
-		return d.refuse(ReasonUnreachable)
+		return d.refuse(ReasonUnreachable), false
 	}
+	return d.lose(ReasonTargetFailed), true
+}
+
+func (d *Dispatcher) lose(reason Reason) *http.Response {
 	d.Counters.Unknown.Inc()
-	return unknown(ReasonTargetFailed)
+	return unknown(reason)
 }
 
 func (d *Dispatcher) outgoing(ctx context.Context, r *http.Request) *http.Request {
@@ -177,31 +208,17 @@
 	return c.Conn.Write(b)
 }
 
-// releaser frees a slot once.
-type releaser struct {
-	slots  *Slots
-	cancel context.CancelFunc
-	once   sync.Once
-}
-
-func (r *releaser) release() {
-	r.once.Do(func() {
-		r.cancel()
-		r.slots.Release()
-	})
-}
-
-type releasingBody struct {
+// finalBody is a response's body with something to do, once, when it is closed.
+type finalBody struct {
 	io.ReadCloser
-	releaser *releaser
-	lent     *lentBody
+	finish func()
+	once   sync.Once
 }
 
-// Close ends the work on the request and frees its slot.
-func (b *releasingBody) Close() error {
+// Close closes the body and finishes.
+func (b *finalBody) Close() error {
 	err := b.ReadCloser.Close()
-	b.lent.takeBack()
-	b.releaser.release()
+	b.once.Do(b.finish)
 	return err
 }
 
--- a/agent/target/outcome.go
+++ b/agent/target/outcome.go
@@ -39,6 +39,9 @@
 	ReasonDraining     Reason = "draining"
 	ReasonUnreachable  Reason = "targetUnreachable"
 	ReasonTargetFailed Reason = "targetFailed"
+	ReasonLost         Reason = "handOverLost"
+	// ReasonElsewhere never reaches a caller: another agent is to run the request.
+	ReasonElsewhere Reason = "elsewhere"
 )
 
 const problemContentType = "application/problem+json"
--- a/agent/target/slots.go
+++ b/agent/target/slots.go
@@ -3,15 +3,23 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"github.com/coltsfootline/coltsfootline/kernel/placement"
 )
 
-// Slots admits requests in order of arrival, Count at once and Queue waiting. Set the fields before use.
+// recheckPeriod is how often a waiting request asks whether another agent should run it.
+const recheckPeriod = 20 * time.Millisecond
+
+// Slots admits requests in order of arrival, Count at once and Queue waiting. Set the exported fields before use.
 type Slots struct {
-	Count int
-	Queue int
+	Instance string
+	Count    int
+	Queue    int
 
 	mutex   sync.Mutex
 	busy    int
+	meter   placement.Meter
 	waiting []*waiter
 }
 
@@ -19,41 +27,85 @@
 	admitted chan struct{}
 }
 
-// Acquire waits for a slot. It returns the reason why the request was not admitted, or "" with a slot held.
-func (s *Slots) Acquire(ctx context.Context) Reason {
+// TryAcquire takes a slot if one is free and nobody waits.
+func (s *Slots) TryAcquire(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.tryLocked(now)
+}
+
+func (s *Slots) tryLocked(now time.Time) bool {
+	if s.busy >= s.Count || len(s.waiting) > 0 {
+		return false
+	}
+	s.change(now, 1)
+	return true
+}
+
+// change counts the slots in use until now, then changes their number.
+func (s *Slots) change(now time.Time, by int) {
+	s.meter.Advance(now, s.busy, s.Count)
+	s.busy += by
+}
+
+// Acquire waits for a slot. It returns "" with a slot held, or the reason why there is none; the reason is
+// ReasonElsewhere when elsewhere, asked now and then while the request waits, wants to run it at another agent.
+// A request that comes back from there waits in front.
+func (s *Slots) Acquire(ctx context.Context, inFront bool, elsewhere func() bool) Reason {
 	s.mutex.Lock()
-	if s.busy < s.Count && len(s.waiting) == 0 {
-		s.busy++
+	if s.tryLocked(time.Now()) {
 		s.mutex.Unlock()
 		return ""
 	}
-	if len(s.waiting) >= s.Queue {
+	if len(s.waiting) >= s.Queue && !inFront {
 		s.mutex.Unlock()
 		return ReasonQueueFull
 	}
 	w := &waiter{admitted: make(chan struct{})}
-	s.waiting = append(s.waiting, w)
+	if inFront {
+		s.waiting = append([]*waiter{w}, s.waiting...)
+	} else {
+		s.waiting = append(s.waiting, w)
+	}
 	s.mutex.Unlock()
-	select {
-	case <-w.admitted:
-		return ""
-	case <-ctx.Done():
-		return s.withdraw(ctx, w)
+	return s.await(ctx, w, elsewhere)
+}
+
+func (s *Slots) await(ctx context.Context, w *waiter, elsewhere func() bool) Reason {
+	ticker := time.NewTicker(recheckPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-w.admitted:
+			return ""
+		case <-ctx.Done():
+			if !s.withdraw(w) {
+				s.Release()
+			}
+			return reasonOf(ctx)
+		case <-ticker.C:
+			if !elsewhere() {
+				continue
+			}
+			if s.withdraw(w) {
+				return ReasonElsewhere
+			}
+			return ""
+		}
 	}
 }
 
-// withdraw frees the place of a waiter whose context ended; a slot given to it meanwhile goes on to the next.
-func (s *Slots) withdraw(ctx context.Context, w *waiter) Reason {
+// withdraw takes a waiter out of the queue; it reports false when the waiter was given a slot before.
+func (s *Slots) withdraw(w *waiter) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for i, other := range s.waiting {
 		if other == w {
 			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
-			return reasonOf(ctx)
+			return true
 		}
 	}
-	s.releaseLocked()
-	return reasonOf(ctx)
+	return false
 }
 
 func reasonOf(ctx context.Context) Reason {
@@ -63,16 +115,12 @@
 	return ReasonCancelled
 }
 
-// Release gives a slot back.
+// Release gives a slot back, to the first that waits.
 func (s *Slots) Release() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.releaseLocked()
-}
-
-func (s *Slots) releaseLocked() {
 	if len(s.waiting) == 0 {
-		s.busy--
+		s.change(time.Now(), -1)
 		return
 	}
 	w := s.waiting[0]
@@ -80,9 +128,16 @@
 	close(w.admitted)
 }
 
-// Busy returns how many slots are held and how many requests wait.
-func (s *Slots) Busy() (busy, waiting int) {
+// Load returns what other agents are told.
+func (s *Slots) Load(now time.Time) placement.Load {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.busy, len(s.waiting)
+	s.meter.Advance(now, s.busy, s.Count)
+	return placement.Load{
+		Instance: s.Instance,
+		Slots:    s.Count,
+		Busy:     s.busy,
+		Waiting:  len(s.waiting),
+		Recent:   s.meter.Value(),
+	}
 }
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -27,4 +27,5 @@
 	MoveAbandoned    = define(422, "moveAbandoned", slog.LevelWarn, "prepared flow was given up, its grant never came")
 	LocateFailed     = define(430, "locateFailed", slog.LevelWarn, "a peer did not answer which flows it holds")
 	TargetFailed     = define(440, "targetFailed", slog.LevelWarn, "target did not answer a request")
+	HandOverFailed   = define(450, "handOverFailed", slog.LevelWarn, "a request handed to another agent got no answer")
 )
--- a/kernel/facts/member.go
+++ b/kernel/facts/member.go
@@ -33,7 +33,9 @@
 	Service    string         `json:"service,omitempty"`
 	Packets    netip.AddrPort `json:"packets"`
 	Control    netip.AddrPort `json:"control"`
-	State      State          `json:"state"`
+	// Requests is where an agent takes requests that others hand over.
+	Requests netip.AddrPort `json:"requests"`
+	State    State          `json:"state"`
 }
 
 // Fact wraps the member with its versions.
--- a/kernel/peer/client.go
+++ b/kernel/peer/client.go
@@ -70,6 +70,19 @@
 	return nil
 }
 
+// Notify sends a notification to a peer; errors are CallError.
+func (p *Pool) Notify(ctx context.Context, to netip.AddrPort, method string, params any) error {
+	c := p.client(to)
+	conn, err := c.connect(ctx, p.via(to))
+	if err == nil {
+		err = conn.Notify(ctx, method, params)
+	}
+	if err != nil {
+		return errors.WithStack(&CallError{Peer: to, Method: method, Cause: err})
+	}
+	return nil
+}
+
 // Close ends every connection.
 func (p *Pool) Close() {
 	p.mutex.Lock()
@@ -118,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(socket), noRequests{})
+	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(countedConn{socket}), noRequests{})
 	return c.conn, nil
 }
 
--- a/kernel/peer/server.go
+++ b/kernel/peer/server.go
@@ -58,7 +58,7 @@
 			}
 			return
 		}
-		conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(socket), jsonrpc2.AsyncHandler(s))
+		conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(countedConn{socket}), jsonrpc2.AsyncHandler(s))
 		context.AfterFunc(ctx, func() { _ = conn.Close() })
 	}
 }
--- /dev/null
+++ b/kernel/placement/policy_test.go
@@ -0,0 +1,55 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func drawLoad(t *rapid.T) Load {
+	return Load{
+		Slots:   4,
+		Busy:    rapid.IntRange(0, 4).Draw(t, "busy"),
+		Waiting: rapid.IntRange(0, 3).Draw(t, "waiting"),
+		Recent:  rapid.Float64Range(0, 1).Draw(t, "recent"),
+	}
+}
+
+// TestPoliciesNeverChooseFullAgents checks that no policy hands a request to an agent without a free slot.
+func TestPoliciesNeverChooseFullAgents(t *testing.T) {
+	for _, name := range Policies.Names() {
+		p, err := Policies.Get(name)
+		require.NoError(t, err)
+		rapid.Check(t, func(t *rapid.T) {
+			own := drawLoad(t)
+			others := rapid.SliceOf(rapid.Custom(drawLoad)).Draw(t, "others")
+			chosen := p.Choose(own, others, rapid.Bool().Draw(t, "waited"))
+			if chosen >= 0 {
+				require.Positive(t, others[chosen].Free())
+			}
+		})
+	}
+}
+
+func TestEvenPrefersTheLeastWorked(t *testing.T) {
+	own := Load{Slots: 4, Recent: 0.6}
+	others := []Load{{Slots: 4, Recent: 0.5}, {Slots: 4, Recent: 0.3}, {Slots: 4, Busy: 4, Recent: 0.1}}
+	require.Equal(t, 1, Even{}.Choose(own, others, false))
+	require.Equal(t, -1, Even{}.Choose(Load{Slots: 4, Recent: 0.3}, others, false))
+	require.Equal(t, 1, Even{}.Choose(Load{Slots: 4, Busy: 4}, others, false))
+}
+
+func TestMeterFollowsUse(t *testing.T) {
+	var m Meter
+	now := time.Unix(1000, 0)
+	m.Advance(now, 4, 4)
+	for range 100 {
+		now = now.Add(time.Second)
+		m.Advance(now, 3, 4)
+	}
+	require.InDelta(t, 0.75, m.Value(), 0.001)
+	m.Advance(now.Add(MeterTime), 0, 4)
+	require.InDelta(t, 0.75/2.718, m.Value(), 0.01)
+}
--- a/rig/caller/caller.go
+++ b/rig/caller/caller.go
@@ -62,10 +62,12 @@
 	dials := make(chan struct{}, dialConcurrent)
 	total := 0
 	for i, l := range p.Settings.Loads {
+		rates := l.rates()
 		for n := range l.Connections {
 			c := &connection{
 				process: p,
 				load:    l,
+				rate:    rates[n],
 				name:    p.Settings.Name + "-" + strconv.Itoa(i) + "-" + strconv.Itoa(n),
 				random:  rand.New(rand.NewPCG(p.Settings.Seed, uint64(i)<<32|uint64(n))),
 				until:   until,
--- a/rig/caller/connection.go
+++ b/rig/caller/connection.go
@@ -22,6 +22,7 @@
 	process *Process
 	load    Load
 	name    string
+	rate    float64
 	random  *rand.Rand
 	until   <-chan struct{}
 	dials   chan struct{}
@@ -61,7 +62,7 @@
 
 // wait thinks; it reports false when the time of the load is over.
 func (c *connection) wait(ctx context.Context) bool {
-	timer := time.NewTimer(c.load.think(c.random))
+	timer := time.NewTimer(think(c.rate, c.random))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -99,6 +100,7 @@
 		Unrepeatable: r.unrepeatable,
 		Long:         r.long,
 		Final:        r.final,
+		WorkMs:       r.millis,
 	}
 	start := time.Now()
 	o.AtMs = start.UnixMilli()
@@ -149,6 +151,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.final {
+		m.Header.Set(target.FinalHeader, "1")
+	}
 	m.Header.Set(target.StampHeader, stamp)
 	m.Header.Set(target.ServiceHeader, c.load.Service)
 	return m, nil
--- a/rig/caller/load.go
+++ b/rig/caller/load.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -22,6 +23,10 @@
 	UnrepeatableShare float64 `yaml:"unrepeatableShare"`
 	// RedialShare is the share of requests after which a caller opens a new connection.
 	RedialShare float64 `yaml:"redialShare"`
+	// Skew makes connection n ask at a rate proportional to (n+1)^-Skew; 0 means equal rates.
+	Skew float64 `yaml:"skew"`
+	// GreatestRate bounds the requests per second of one connection under skew.
+	GreatestRate float64 `yaml:"greatestRate"`
 }
 
 // request is one drawn request.
@@ -50,11 +55,27 @@
 	return r
 }
 
-// think draws how long a connection waits before its next request.
-func (l Load) think(random *rand.Rand) time.Duration {
-	if l.RequestsPerSecond <= 0 {
+// rates lists how many requests a second each connection makes.
+func (l Load) rates() []float64 {
+	rates := make([]float64, l.Connections)
+	var sum float64
+	for n := range rates {
+		rates[n] = math.Pow(float64(n+1), -l.Skew)
+		sum += rates[n]
+	}
+	for n := range rates {
+		rates[n] *= l.RequestsPerSecond / sum
+		if l.GreatestRate > 0 {
+			rates[n] = min(rates[n], l.GreatestRate)
+		}
+	}
+	return rates
+}
+
+// think draws how long a connection with a rate waits before its next request.
+func think(rate float64, random *rand.Rand) time.Duration {
+	if rate <= 0 {
 		return time.Hour
 	}
-	mean := float64(l.Connections) / l.RequestsPerSecond
-	return time.Duration(random.ExpFloat64() * mean * float64(time.Second))
+	return time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 }
--- a/rig/caller/outcome.go
+++ b/rig/caller/outcome.go
@@ -24,6 +24,7 @@
 	Long         bool    `json:"long"`
 	AtMs         int64   `json:"atMs"`
 	Ms           float64 `json:"ms"`
+	WorkMs       float64 `json:"workMs"`
 	Detail       string  `json:"detail,omitempty"`
 	// Final marks the request by which a connection proves at the end that it still works.
 	Final bool `json:"final,omitempty"`
--- a/rig/cluster/cluster.go
+++ b/rig/cluster/cluster.go
@@ -51,7 +51,9 @@
 	Size      Size
 	Seed      uint64
 	Logger    *slog.Logger
-	Peers     peer.Pool
+	// Policy is the agents' placement policy; empty means their default.
+	Policy string
+	Peers  peer.Pool
 	// KeepAlive is the agents' setting; the zero value means their default.
 	KeepAlive tcpstack.KeepAlive
 	// Proxied puts a proxy that can be cut into each control link between the nodes that Start starts.
@@ -261,7 +263,7 @@
 
 // AddAgent starts one more target with its agent.
 func (c *Cluster) AddAgent(s ServiceSize) (*Node, error) {
-	addresses, err := freeAddresses(4)
+	addresses, err := freeAddresses(5)
 	if err != nil {
 		return nil, err
 	}
@@ -288,9 +290,13 @@
 		"entries":    controls(c.Entries),
 		"target":     "http://" + addresses[3].String(),
 		"slots":      s.Slots,
+		"requests":   addresses[4].String(),
 		"hashKey":    hashKey,
 		"packetKey":  packetKey,
 	}
+	if c.Policy != "" {
+		settings["policy"] = c.Policy
+	}
 	if c.KeepAlive.Count > 0 {
 		settings["keepAlive"] = map[string]any{
 			"idle":     c.KeepAlive.Idle.String(),
--- a/rig/cmd/demoCmd.go
+++ b/rig/cmd/demoCmd.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/coltsfootline/coltsfootline/kernel/placement"
 	"github.com/coltsfootline/coltsfootline/rig/scenario"
 )
 
@@ -30,7 +31,7 @@
 
 func (c *demoCmd) runDemo(cmd *cobra.Command, _ []string) error {
 	e := &experiment{
-		options:  scenario.Options{Name: "demo", Seed: 1, Duration: demoDuration, Policy: "default", Size: "small"},
+		options:  scenario.Options{Name: "demo", Seed: 1, Duration: demoDuration, Policy: placement.Default, Size: "small"},
 		progress: cmd.ErrOrStderr(),
 		keep:     c.keep,
 	}
--- a/rig/cmd/experiment.go
+++ b/rig/cmd/experiment.go
@@ -37,6 +37,7 @@
 		Programs:  programs,
 		Size:      size,
 		Seed:      e.options.Seed,
+		Policy:    e.options.Policy,
 		Logger:    slog.New(slog.NewTextHandler(e.progress, nil)),
 	}
 	s, err := scenario.Scenarios.Get(e.options.Name)
--- a/rig/scenario/judge.go
+++ b/rig/scenario/judge.go
@@ -53,6 +53,7 @@
 	}
 	short := hdrhistogram.New(1, greatestLatencyUs, histogramDigits)
 	long := hdrhistogram.New(1, greatestLatencyUs, histogramDigits)
+	var ideals []arrival
 	for _, file := range outcomeFiles {
 		outcomes, err := readLines[caller.Outcome](file)
 		if err != nil {
@@ -61,8 +62,12 @@
 		for _, o := range outcomes {
 			judgeOutcome(o, runs, r)
 			recordLatency(o, short, long)
+			if !o.Final && o.Kind != caller.KindDial {
+				ideals = append(ideals, arrival{service: o.Service, at: float64(o.AtMs), work: o.WorkMs, short: !o.Long})
+			}
 		}
 	}
+	r.IdealShortP99Ms = idealP99(ideals, c.Size)
 	r.ShortP50Ms = float64(short.ValueAtQuantile(50)) / microsPerMilli
 	r.ShortP99Ms = float64(short.ValueAtQuantile(99)) / microsPerMilli
 	if long.TotalCount() > 0 {
@@ -88,8 +93,10 @@
 			busy[name] = map[string]float64{}
 		}
 		for _, run := range records {
-			if run.End {
+			if run.End && !run.Final {
 				busy[name][n.Name] += float64(run.BusyUs)
+			}
+			if run.End {
 				continue
 			}
 			runs[run.Stamp]++
--- a/rig/scenario/result.go
+++ b/rig/scenario/result.go
@@ -30,6 +30,10 @@
 	ShortP50Ms   float64  `json:"shortP50Ms"`
 	ShortP99Ms   float64  `json:"shortP99Ms"`
 	LongP99Ms    *float64 `json:"longP99Ms,omitempty"`
+	// IdealShortP99Ms is what one queue over all slots of each service would have given the short requests.
+	IdealShortP99Ms float64 `json:"idealShortP99Ms"`
+	// ControlBytesPerSecond is the greatest of any process, read and written together.
+	ControlBytesPerSecond float64 `json:"controlBytesPerSecond"`
 	// BrokenPromises says which bounds of the scenario were passed.
 	BrokenPromises []string `json:"brokenPromises"`
 }
--- a/rig/scenario/scenario.go
+++ b/rig/scenario/scenario.go
@@ -65,7 +65,7 @@
 const (
 	callerProcesses  = 2
 	defaultTimeoutMs = 15000
-	targetLoad       = 0.4
+	usualLoad        = 0.4
 	shortMs          = 20
 	longMs           = 1000
 	longShare        = 0.01
@@ -94,6 +94,7 @@
 	}
 	e.Say("callers are connected, acting for %v", o.Duration)
 	begin := time.Now()
+	traffic := e.controlBytes(ctx)
 	if s.Act != nil {
 		if err := s.Act(ctx, e); err != nil {
 			return r, err
@@ -103,6 +104,7 @@
 	if err := e.awaitCallers(&r, o.Duration-time.Since(begin)); err != nil {
 		return r, err
 	}
+	r.ControlBytesPerSecond = greatestRate(traffic, e.controlBytes(ctx), time.Since(begin))
 	r.Moved = e.Moved
 	if err := judge(c, e.outcomes, &r); err != nil {
 		return r, err
@@ -119,7 +121,7 @@
 			Service:           size.Service.Name,
 			Address:           size.Service.Address,
 			Connections:       size.Connections / share,
-			RequestsPerSecond: targetLoad * capacity / float64(share),
+			RequestsPerSecond: usualLoad * capacity / float64(share),
 			ShortMs:           shortMs,
 			LongMs:            longMs,
 			LongShare:         longShare,
--- a/rig/target/target.go
+++ b/rig/target/target.go
@@ -14,6 +14,7 @@
 const (
 	StampHeader   = "Request-Stamp"
 	ServiceHeader = "Wanted-Service"
+	FinalHeader   = "Final-Request"
 	FieldMillis   = "ms"
 	FieldBytes    = "bytes"
 )
@@ -28,6 +29,7 @@
 	BusyUs   int64  `json:"busyUs"`
 	End      bool   `json:"end"`
 	Active   int    `json:"active"`
+	Final    bool   `json:"final,omitempty"`
 }
 
 // Target answers for one service. Set the exported fields before use.
@@ -57,6 +59,7 @@
 		Service:  t.Service,
 		Wanted:   r.Header.Get(ServiceHeader),
 		Instance: t.Instance,
+		Final:    r.Header.Get(FinalHeader) != "",
 	}
 	t.record(run, start, 1)
 	defer func() {
