Agents reset connections whose callers they can no longer hear

The stack gives a connection up after unanswered probes without an RST, and never gave up one with an unacknowledged answer. Ruled out: a shorter keep-alive (the silence is noticed, the caller is just not told). Change: the stack's user timeout is set to the keep-alive bound; when a connection fails without an RST or FIN from its caller, the agent sends the RST itself.

--- a/agent/caller/harness_test.go
+++ b/agent/caller/harness_test.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +31,7 @@
 	testKeys    = Keys{Hash: gue.Key{High: 1, Low: 2}, Packet: gue.Key{High: 3, Low: 4}}
 	testService = services.Service{Name: "catalogue", ID: 1, Generation: 1, Address: netip.MustParseAddrPort("10.9.0.1:80")}
 	testKeep    = tcpstack.KeepAlive{Idle: time.Minute, Interval: time.Minute, Count: 3}
+	quickKeep   = tcpstack.KeepAlive{Idle: time.Second, Interval: time.Second, Count: 1}
 )
 
 // fate is what happens to a control message.
@@ -133,6 +135,8 @@
 	stack   *tcpstack.Stack
 	fabric  *net.UDPConn
 	ctx     context.Context
+	// deaf makes the fabric swallow what the caller sends.
+	deaf atomic.Bool
 }
 
 func newSite(t testing.TB, agents int) *site {
@@ -202,6 +206,9 @@
 		if b == nil {
 			return
 		}
+		if s.deaf.Load() {
+			continue
+		}
 		d := append(make([]byte, gue.HeaderLength), b...)
 		gue.Header{Service: 1, Generation: 1}.Put(d, testKeys.Packet)
 		_, _ = s.fabric.WriteToUDPAddrPort(d, s.members[rand.IntN(len(s.members))].Packets)
--- a/agent/caller/move_test.go
+++ b/agent/caller/move_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"io"
 	"testing"
 	"time"
 
@@ -144,3 +145,26 @@
 		require.Equal(t, s.members[1].Instance, c.ask())
 	}
 }
+
+// TestSwallowedCallerIsReset checks that a caller whose packets no longer arrive, but who still hears the agent, learns
+// that its connection ended, both from an idle connection and from one with an answer on its way.
+func TestSwallowedCallerIsReset(t *testing.T) {
+	for name, asking := range map[string]bool{"idle": false, "answer on its way": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1)
+			s.agents[0].stack.Load().SetKeepAlive(quickKeep)
+			c := s.dial()
+			c.ask()
+			if asking {
+				_, err := c.socket.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+				require.NoError(t, err)
+				_, err = c.reader.Peek(1)
+				require.NoError(t, err)
+			}
+			s.deaf.Store(true)
+			require.NoError(t, c.socket.SetDeadline(time.Now().Add(settleTimeout)))
+			_, err := io.Copy(io.Discard, c.reader)
+			require.ErrorContains(t, err, "reset")
+		})
+	}
+}
--- a/agent/caller/segment.go
+++ b/agent/caller/segment.go
@@ -149,3 +149,14 @@
 	s.acknowledgment = p.TCP.SequenceNumber() + p.SequenceLength()
 	return s.bytes()
 }
+
+// reset builds the RST that ends a flow for its caller.
+func (f *flow) reset() []byte {
+	return segment{
+		from:           f.key.Service,
+		to:             f.key.Caller,
+		sequence:       f.localNext,
+		acknowledgment: f.callerNext,
+		flags:          header.TCPFlagRst | header.TCPFlagAck,
+	}.bytes()
+}
--- a/agent/caller/terminator.go
+++ b/agent/caller/terminator.go
@@ -162,14 +162,22 @@
 	return true
 }
 
-// connEnded notes that the HTTP side is done with a connection.
+// connEnded notes that the HTTP side is done with a connection. The stack gives up a caller that stopped answering
+// without a word; the RST tells the caller in case it still hears this agent.
 func (t *Terminator) connEnded(c *conn, now time.Time) {
+	failed := tcpstack.Failed(c.endpoint)
 	_ = c.socket.Close()
 	f := c.flow
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if f.conn == c {
-		f.closed = now
+	if f.conn != c {
+		return
+	}
+	f.closed = now
+	if failed && !f.ending && f.state == stateLocal {
+		f.ending = true
+		t.toCaller(f.reset())
+		t.Counters.Resets.Inc()
 	}
 }
 
--- a/kernel/tcpstack/stack.go
+++ b/kernel/tcpstack/stack.go
@@ -47,6 +47,16 @@
 	Count    int           `yaml:"count"`
 }
 
+// Bound is how long a vanished peer goes unnoticed at most, in both directions.
+func (k KeepAlive) Bound() time.Duration {
+	return k.Idle + time.Duration(k.Count)*k.Interval
+}
+
+// Failed reports that a connection ended by an error: an RST, or a peer that stopped answering.
+func Failed(e tcpip.Endpoint) bool {
+	return tcp.EndpointState(e.State()) == tcp.StateError
+}
+
 // Stack is a user-space TCP stack with one IPv4 address.
 type Stack struct {
 	link      *channel.Endpoint
@@ -159,9 +169,16 @@
 	return c, nil
 }
 
+// SetKeepAlive changes how connections accepted from now on are kept alive. Call it before the first.
+func (s *Stack) SetKeepAlive(k KeepAlive) {
+	s.keepAlive = k
+}
+
 func (s *Stack) keep(e tcpip.Endpoint) {
 	idle := tcpip.KeepaliveIdleOption(s.keepAlive.Idle)
 	interval := tcpip.KeepaliveIntervalOption(s.keepAlive.Interval)
+	unanswered := tcpip.TCPUserTimeoutOption(s.keepAlive.Bound())
+	_ = e.SetSockOpt(&unanswered)
 	_ = e.SetSockOpt(&idle)
 	_ = e.SetSockOpt(&interval)
 	_ = e.SetSockOptInt(tcpip.KeepaliveCountOption, s.keepAlive.Count)
