--- /dev/null
+++ b/agent/target/dispatcher_test.go
@@ -0,0 +1,144 @@
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+)
+
+func newDispatcher(t *testing.T, base string, slots, queue int) *Dispatcher {
+	t.Helper()
+	u, err := url.Parse(base)
+	require.NoError(t, err)
+	return &Dispatcher{
+		Target:   u,
+		Slots:    &Slots{Instance: "own", Count: slots, Queue: queue},
+		Counters: NewCounters(metrics.NewSet()),
+		Logger:   slog.New(slog.DiscardHandler),
+	}
+}
+
+func newRequest(t *testing.T, timeout time.Duration) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, "http://service/run", strings.NewReader("body"))
+	require.NoError(t, err)
+	if timeout > 0 {
+		r.Header.Set(TimeoutHeader, strconv.FormatInt(timeout.Milliseconds(), 10))
+	}
+	return r
+}
+
+func problemOf(t *testing.T, r *http.Response) Problem {
+	t.Helper()
+	var p Problem
+	require.NoError(t, json.NewDecoder(r.Body).Decode(&p))
+	require.NoError(t, r.Body.Close())
+	return p
+}
+
+func TestUnreachableTargetIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	d := newDispatcher(t, "http://"+l.Addr().String(), 1, 1)
+	p := problemOf(t, d.Serve(context.Background(), newRequest(t, 0)))
+	require.Equal(t, Problem{Type: ProblemNotRun, Title: p.Title, Status: 503, Reason: ReasonUnreachable}, p)
+	require.True(t, d.Slots.TryAcquire(time.Now()), "the slot is free again")
+}
+
+// TestLostAnswerIsUnknown has the target take the request and break off: it must not be called not run.
+func TestLostAnswerIsUnknown(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	t.Cleanup(s.Close)
+	d := newDispatcher(t, s.URL, 1, 1)
+	p := problemOf(t, d.Serve(context.Background(), newRequest(t, 0)))
+	require.Equal(t, ProblemUnknown, p.Type)
+	require.Equal(t, ReasonTargetFailed, p.Reason)
+}
+
+// TestWaitingRequestsAreNotRun checks the deadline, the bound of the queue and the refusal of a retired host.
+func TestWaitingRequestsAreNotRun(t *testing.T) {
+	var runs atomic.Int64
+	release := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		<-release
+	}))
+	t.Cleanup(s.Close)
+	d := newDispatcher(t, s.URL, 1, 1)
+	first := make(chan *http.Response, 1)
+	go func() { first <- d.Serve(context.Background(), newRequest(t, 0)) }()
+	require.Eventually(t, func() bool { return runs.Load() == 1 }, 5*time.Second, time.Millisecond)
+
+	require.Equal(t, ReasonDeadline, problemOf(t, d.Serve(context.Background(), newRequest(t, 30*time.Millisecond))).Reason)
+	ctx, cancel := context.WithCancel(context.Background())
+	waiting := make(chan *http.Response, 1)
+	go func() { waiting <- d.Serve(ctx, newRequest(t, 0)) }()
+	require.Eventually(t, func() bool { return d.Slots.Load(time.Now()).Waiting == 1 }, 5*time.Second, time.Millisecond)
+	require.Equal(t, ReasonQueueFull, problemOf(t, d.Serve(context.Background(), newRequest(t, 0))).Reason)
+	cancel()
+	require.Equal(t, ReasonCancelled, problemOf(t, <-waiting).Reason)
+	require.Zero(t, d.Slots.Load(time.Now()).Waiting, "a cancelled request frees its place")
+	d.Refuse()
+	require.Equal(t, ReasonDraining, problemOf(t, d.Serve(context.Background(), newRequest(t, 0))).Reason)
+	close(release)
+	require.NoError(t, (<-first).Body.Close())
+	require.Equal(t, int64(1), runs.Load())
+}
+
+// TestSlotsAreNeverExceeded sends many requests at once through few slots.
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	const slots, requests = 3, 60
+	var active, greatest atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := active.Add(1)
+		defer active.Add(-1)
+		for old := greatest.Load(); n > old && !greatest.CompareAndSwap(old, n); old = greatest.Load() {
+		}
+		time.Sleep(2 * time.Millisecond)
+		_, _ = io.Copy(w, r.Body)
+	}))
+	t.Cleanup(s.Close)
+	d := newDispatcher(t, s.URL, slots, requests)
+	var all sync.WaitGroup
+	for range requests {
+		all.Go(func() {
+			response := d.Serve(context.Background(), newRequest(t, 0))
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		})
+	}
+	all.Wait()
+	require.LessOrEqual(t, greatest.Load(), int64(slots))
+	require.Equal(t, uint64(requests), d.Counters.Answered.Get())
+}
+
+// TestRemainingTimeIsPassedOn checks that the target learns how long the caller still waits.
+func TestRemainingTimeIsPassedOn(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.Header.Get(TimeoutHeader))
+	}))
+	t.Cleanup(s.Close)
+	response := newDispatcher(t, s.URL, 1, 1).Serve(context.Background(), newRequest(t, time.Minute))
+	text, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	left, err := strconv.Atoi(string(text))
+	require.NoError(t, err)
+	require.Positive(t, left)
+	require.LessOrEqual(t, left, 60000)
+}
