Early refusal by expected wait, and the scenario crest

Cause: with 10,000 places in the queue an overloaded host let requests wait until their callers gave up. Change: a request whose expected wait (mean service time by those ahead) passes maxWait (1 s) or its own deadline is answered notRun at once, with a Retry-After spread over twice the expected wait; the load tool surges. Ruled out: nothing yet.

--- a/agent/cmd/agent.go
+++ b/agent/cmd/agent.go
@@ -132,8 +132,13 @@
 	_ = socket.SetWriteBuffer(socketBufferBytes)
 	context.AfterFunc(ctx, func() { _ = socket.Close() })
 	a.dispatcher = &target.Dispatcher{
-		Target:   a.settings.targetURL(),
-		Slots:    &target.Slots{Instance: a.settings.Instance, Count: a.settings.Slots, Queue: a.settings.Queue},
+		Target: a.settings.targetURL(),
+		Slots: &target.Slots{
+			Instance: a.settings.Instance,
+			Count:    a.settings.Slots,
+			Queue:    a.settings.Queue,
+			MaxWait:  a.settings.MaxWait,
+		},
 		HandOver: a.handOver(),
 		Counters: target.NewCounters(metrics.GetDefaultSet()),
 		Logger:   a.process.Logger,
--- a/agent/cmd/settings.go
+++ b/agent/cmd/settings.go
@@ -36,6 +36,7 @@
 	Target        string             `yaml:"target"`
 	Slots         int                `yaml:"slots"`
 	Queue         int                `yaml:"queue"`
+	MaxWait       time.Duration      `yaml:"maxWait"`
 	HashKey       gue.Key            `yaml:"hashKey"`
 	PacketKey     gue.Key            `yaml:"packetKey"`
 	Table         string             `yaml:"table"`
@@ -68,6 +69,7 @@
 	f.URL(s.Target, "target")
 	f.Between(s.Slots, 1, maxSlots, "slots")
 	f.Between(s.Queue, 0, maxQueue, "queue")
+	f.Require(s.MaxWait >= 0, "maxWait", "a duration of 0s or more; 0s means no bound")
 	f.Require(s.HashKey != gue.Key{}, "hashKey", "32 hexadecimal digits, not all zero")
 	f.Require(s.PacketKey != gue.Key{}, "packetKey", "32 hexadecimal digits, not all zero")
 	f.Require(s.KeepAlive.Idle >= time.Second, "keepAlive.idle", "a duration of 1s or more")
@@ -92,6 +94,7 @@
 	return &Settings{
 		Slots:     4,
 		Queue:     10000,
+		MaxWait:   time.Second,
 		Table:     table.Default,
 		Policy:    placement.Default,
 		KeepAlive: tcpstack.KeepAlive{Idle: 15 * time.Second, Interval: 5 * time.Second, Count: 3},
--- a/agent/target/dispatcher.go
+++ b/agent/target/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/url"
@@ -16,6 +17,7 @@
 
 	"github.com/coltsfootline/coltsfootline/agent/replica"
 	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/placement"
 )
 
 // TimeoutHeader carries how many milliseconds the caller still waits for its answer.
@@ -84,10 +86,11 @@
 func (d *Dispatcher) runHere(ctx context.Context, r *http.Request) (response *http.Response, ran bool) {
 	body := &lentBody{body: r.Body}
 	r.Body = body
+	begin := time.Now()
 	response, ran = d.run(ctx, r)
 	finish := func() {
 		body.takeBack()
-		d.Slots.Release()
+		d.Slots.Release(time.Since(begin))
 	}
 	response.Body = &finalBody{ReadCloser: response.Body, finish: finish}
 	return response, ran
@@ -101,7 +104,7 @@
 		return notRun(ReasonQueueFull, retryAfterDefault), false
 	}
 	if !started() {
-		d.Slots.Release()
+		d.Slots.GiveBack()
 		cancel()
 		return notRun(ReasonCancelled, retryAfterDefault), false
 	}
@@ -112,7 +115,7 @@
 
 func (d *Dispatcher) refuse(reason Reason) *http.Response {
 	d.Counters.NotRun.Inc()
-	return notRun(reason, retryAfterDefault)
+	return notRun(reason, placement.RetryAfter(d.Slots.ExpectedWait(), rand.Float64()))
 }
 
 func withDeadline(ctx context.Context, r *http.Request) (context.Context, context.CancelFunc) {
--- a/agent/target/outcome.go
+++ b/agent/target/outcome.go
@@ -34,6 +34,7 @@
 // The reasons.
 const (
 	ReasonQueueFull    Reason = "queueFull"
+	ReasonOverload     Reason = "overload"
 	ReasonDeadline     Reason = "deadline"
 	ReasonCancelled    Reason = "cancelled"
 	ReasonDraining     Reason = "draining"
--- a/agent/target/slots.go
+++ b/agent/target/slots.go
@@ -16,10 +16,13 @@
 	Instance string
 	Count    int
 	Queue    int
+	// MaxWait bounds how long a request is expected to wait when it is let into the queue; 0 means no bound.
+	MaxWait time.Duration
 
 	mutex   sync.Mutex
 	busy    int
 	meter   placement.Meter
+	service placement.ServiceTime
 	waiting []*waiter
 }
 
@@ -57,9 +60,9 @@
 		s.mutex.Unlock()
 		return ""
 	}
-	if len(s.waiting) >= s.Queue && !inFront {
+	if reason := s.refusal(ctx); reason != "" && !inFront {
 		s.mutex.Unlock()
-		return ReasonQueueFull
+		return reason
 	}
 	w := &waiter{admitted: make(chan struct{})}
 	if inFront {
@@ -71,6 +74,28 @@
 	return s.await(ctx, w, elsewhere)
 }
 
+// refusal says why a request can't wait here, or "".
+func (s *Slots) refusal(ctx context.Context) Reason {
+	if len(s.waiting) >= s.Queue {
+		return ReasonQueueFull
+	}
+	expected := s.service.Wait(len(s.waiting), s.Count)
+	if s.MaxWait > 0 && expected > s.MaxWait {
+		return ReasonOverload
+	}
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < expected {
+		return ReasonDeadline
+	}
+	return ""
+}
+
+// ExpectedWait is how long a request that came now would wait for a slot.
+func (s *Slots) ExpectedWait() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.service.Wait(len(s.waiting), s.Count)
+}
+
 func (s *Slots) await(ctx context.Context, w *waiter, elsewhere func() bool) Reason {
 	ticker := time.NewTicker(recheckPeriod)
 	defer ticker.Stop()
@@ -79,9 +104,7 @@
 		case <-w.admitted:
 			return ""
 		case <-ctx.Done():
-			if !s.withdraw(w) {
-				s.Release()
-			}
+			s.abandon(w)
 			return reasonOf(ctx)
 		case <-ticker.C:
 			if !elsewhere() {
@@ -95,6 +118,21 @@
 	}
 }
 
+// abandon takes a waiter out of the queue, or gives the slot on that it was given meanwhile.
+func (s *Slots) abandon(w *waiter) {
+	if s.withdraw(w) {
+		return
+	}
+	s.GiveBack()
+}
+
+// GiveBack frees a slot in which nothing ran.
+func (s *Slots) GiveBack() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.passOn()
+}
+
 // withdraw takes a waiter out of the queue; it reports false when the waiter was given a slot before.
 func (s *Slots) withdraw(w *waiter) bool {
 	s.mutex.Lock()
@@ -115,10 +153,16 @@
 	return ReasonCancelled
 }
 
-// Release gives a slot back, to the first that waits.
-func (s *Slots) Release() {
+// Release gives a slot back, to the first that waits, after it was held for some time.
+func (s *Slots) Release(held time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.service.Note(held)
+	s.passOn()
+}
+
+// passOn gives a slot that is held to the first that waits, or frees it.
+func (s *Slots) passOn() {
 	if len(s.waiting) == 0 {
 		s.change(time.Now(), -1)
 		return
--- a/rig/caller/caller.go
+++ b/rig/caller/caller.go
@@ -43,12 +43,13 @@
 	// Ready is called when every connection was opened once.
 	Ready func()
 
-	stack  *tcpstack.Stack
-	socket *net.UDPConn
-	mutex  sync.Mutex
-	broken atomic.Int64
-	open   atomic.Int64
-	failed atomic.Int64
+	stack   *tcpstack.Stack
+	socket  *net.UDPConn
+	mutex   sync.Mutex
+	started atomic.Int64
+	broken  atomic.Int64
+	open    atomic.Int64
+	failed  atomic.Int64
 }
 
 // Run opens the connections, sends requests for the set time, proves each connection once more and sums up.
@@ -80,6 +81,7 @@
 		}
 	}
 	opened.Wait()
+	p.started.Store(time.Now().UnixNano())
 	p.Ready()
 	select {
 	case <-ctx.Done():
@@ -95,6 +97,15 @@
 	}, nil
 }
 
+// sinceStart is how long the load has run, or 0 before every connection was opened.
+func (p *Process) sinceStart(now time.Time) time.Duration {
+	started := p.started.Load()
+	if started == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, started))
+}
+
 func (p *Process) connect(ctx context.Context) error {
 	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(p.Settings.Packets))
 	if err != nil {
--- a/rig/caller/connection.go
+++ b/rig/caller/connection.go
@@ -30,13 +30,16 @@
 	socket net.Conn
 	reader *bufio.Reader
 	sent   int
+	// retryAfter is what the last answer asked for.
+	retryAfter time.Duration
 }
 
 func (c *connection) run(ctx context.Context, opened, ended *sync.WaitGroup) {
 	defer ended.Done()
 	c.dial(ctx)
 	opened.Done()
-	for c.wait(ctx) {
+	for c.sleep(ctx, c.retryAfter) && c.wait(ctx) {
+		c.retryAfter = 0
 		if c.socket == nil && !c.dial(ctx) {
 			continue
 		}
@@ -46,6 +49,7 @@
 		}
 	}
 	// The connection proves that it is still of use.
+	c.retryAfter = 0
 	if c.socket != nil || c.dial(ctx) {
 		c.ask(ctx, request{millis: 1, bytes: 100, final: true})
 	}
@@ -60,9 +64,23 @@
 	c.socket = nil
 }
 
-// wait thinks; it reports false when the time of the load is over.
+// wait thinks; it reports false when the time of the load is over. Arrivals are a Poisson process whose rate changes
+// with surges: candidates come at the greatest rate and are thinned out.
 func (c *connection) wait(ctx context.Context) bool {
-	timer := time.NewTimer(think(c.rate, c.random))
+	for {
+		_, greatest := c.load.factor(0)
+		if !c.sleep(ctx, think(c.rate*greatest, c.random)) {
+			return false
+		}
+		now, _ := c.load.factor(c.process.sinceStart(time.Now()))
+		if c.random.Float64()*greatest < now {
+			return true
+		}
+	}
+}
+
+func (c *connection) sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -101,6 +119,7 @@
 		Long:         r.long,
 		Final:        r.final,
 		WorkMs:       r.millis,
+		AfterMs:      float64(c.process.sinceStart(time.Now()).Milliseconds()),
 	}
 	start := time.Now()
 	o.AtMs = start.UnixMilli()
@@ -134,6 +153,9 @@
 		o.Kind, o.Detail = KindCut, err.Error()
 		return false
 	}
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		c.retryAfter = time.Duration(seconds) * time.Second
+	}
 	o.Kind, o.Detail = c.judge(response, body, r, o.Stamp)
 	return !response.Close
 }
--- a/rig/caller/load.go
+++ b/rig/caller/load.go
@@ -27,6 +27,26 @@
 	Skew float64 `yaml:"skew"`
 	// GreatestRate bounds the requests per second of one connection under skew.
 	GreatestRate float64 `yaml:"greatestRate"`
+	Surges       []Surge `yaml:"surges"`
+}
+
+// Surge multiplies the rate of requests for a while.
+type Surge struct {
+	AtSeconds float64 `yaml:"atSeconds"`
+	Seconds   float64 `yaml:"seconds"`
+	Factor    float64 `yaml:"factor"`
+}
+
+// factor is how much the rate is multiplied at a time after the start of the load, and at most.
+func (l Load) factor(after time.Duration) (now, greatest float64) {
+	now, greatest = 1, 1
+	for _, s := range l.Surges {
+		greatest = max(greatest, s.Factor)
+		if t := after.Seconds(); t >= s.AtSeconds && t < s.AtSeconds+s.Seconds {
+			now = s.Factor
+		}
+	}
+	return now, greatest
 }
 
 // request is one drawn request.
--- a/rig/caller/outcome.go
+++ b/rig/caller/outcome.go
@@ -25,7 +25,9 @@
 	AtMs         int64   `json:"atMs"`
 	Ms           float64 `json:"ms"`
 	WorkMs       float64 `json:"workMs"`
-	Detail       string  `json:"detail,omitempty"`
+	// AfterMs is when the request was sent, after the start of the load.
+	AfterMs float64 `json:"afterMs"`
+	Detail  string  `json:"detail,omitempty"`
 	// Final marks the request by which a connection proves at the end that it still works.
 	Final bool `json:"final,omitempty"`
 }
--- a/rig/scenario/ideal.go
+++ b/rig/scenario/ideal.go
@@ -15,7 +15,8 @@
 	service string
 	at      float64
 	work    float64
-	short   bool
+	// counts says that the request belongs to those whose p99 is wanted.
+	counts bool
 }
 
 // freeTimes is a heap of the times at which slots become free.
@@ -35,7 +36,7 @@
 	return last
 }
 
-// idealP99 is the short requests' p99, in milliseconds, with one queue in order of arrival over all slots of each service.
+// idealP99 is the counted requests' p99, in milliseconds, with one queue in order of arrival over all slots of each service.
 func idealP99(all []arrival, size cluster.Size) float64 {
 	slices.SortStableFunc(all, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
 	slots := map[string]*freeTimes{}
@@ -49,7 +50,7 @@
 		start := max(a.at, (*free)[0])
 		(*free)[0] = start + a.work
 		heap.Fix(free, 0)
-		if a.short {
+		if a.counts {
 			answered = append(answered, start+a.work-a.at)
 		}
 	}
--- a/rig/scenario/judge.go
+++ b/rig/scenario/judge.go
@@ -46,7 +46,7 @@
 type runsByStamp map[string]int
 
 // judge compares what callers saw with what targets ran.
-func judge(c *cluster.Cluster, outcomeFiles []string, r *Result) error {
+func judge(c *cluster.Cluster, outcomeFiles []string, loads []caller.Load, r *Result) error {
 	runs, err := judgeRuns(c, r)
 	if err != nil {
 		return err
@@ -54,6 +54,7 @@
 	short := hdrhistogram.New(1, greatestLatencyUs, histogramDigits)
 	long := hdrhistogram.New(1, greatestLatencyUs, histogramDigits)
 	var ideals []arrival
+	crest := newCrest(loads)
 	for _, file := range outcomeFiles {
 		outcomes, err := readLines[caller.Outcome](file)
 		if err != nil {
@@ -62,12 +63,14 @@
 		for _, o := range outcomes {
 			judgeOutcome(o, runs, r)
 			recordLatency(o, short, long)
+			crest.note(o)
 			if !o.Final && o.Kind != caller.KindDial {
-				ideals = append(ideals, arrival{service: o.Service, at: float64(o.AtMs), work: o.WorkMs, short: !o.Long})
+				ideals = append(ideals, arrival{service: o.Service, at: float64(o.AtMs), work: o.WorkMs, counts: !o.Long})
 			}
 		}
 	}
 	r.IdealShortP99Ms = idealP99(ideals, c.Size)
+	crest.sumUp(c.Size, r)
 	r.ShortP50Ms = float64(short.ValueAtQuantile(50)) / microsPerMilli
 	r.ShortP99Ms = float64(short.ValueAtQuantile(99)) / microsPerMilli
 	if long.TotalCount() > 0 {
--- a/rig/scenario/result.go
+++ b/rig/scenario/result.go
@@ -32,6 +32,11 @@
 	LongP99Ms    *float64 `json:"longP99Ms,omitempty"`
 	// IdealShortP99Ms is what one queue over all slots of each service would have given the short requests.
 	IdealShortP99Ms float64 `json:"idealShortP99Ms"`
+	// CrestP99Ms is the p99 of short requests sent during a surge; IdealCrestP99Ms is the ideal's.
+	CrestP99Ms      *float64 `json:"crestP99Ms,omitempty"`
+	IdealCrestP99Ms *float64 `json:"idealCrestP99Ms,omitempty"`
+	// CrestGoodput is the answered work over the slot time of the highest surge.
+	CrestGoodput *float64 `json:"crestGoodput,omitempty"`
 	// ControlBytesPerSecond is the greatest of any process, read and written together.
 	ControlBytesPerSecond float64 `json:"controlBytesPerSecond"`
 	// BrokenPromises says which bounds of the scenario were passed.
--- a/rig/scenario/scenario.go
+++ b/rig/scenario/scenario.go
@@ -106,7 +106,7 @@
 	}
 	r.ControlBytesPerSecond = greatestRate(traffic, e.controlBytes(ctx), time.Since(begin))
 	r.Moved = e.Moved
-	if err := judge(c, e.outcomes, &r); err != nil {
+	if err := judge(c, e.outcomes, e.loads(s, 1), &r); err != nil {
 		return r, err
 	}
 	e.promise(s, &r)
