A retiring host takes no hand-overs and waits for those it took

Ruled out: leaving it to the loads to age (1 s is too long for an agent that is about to end). Change: an agent whose drain began refuses hand-overs and offers no slots, and ends only when nothing runs; a hand-over that never had a connection stays here. In planned scenarios the rig now counts an unknown outcome as a broken promise. TestGoneAgentRunsNothing and TestRetiringHostTakesNoHandOver failed before.

--- a/agent/cmd/agent.go
+++ b/agent/cmd/agent.go
@@ -185,7 +185,7 @@
 
 // startReplica begins to tell the load and to take requests from the other agents of the service.
 func (a *agent) startReplica(ctx context.Context) error {
-	t := &replica.Teller{Self: a.self(), Notifier: a.pool, Load: a.dispatcher.Slots.Load, Members: a.siblings}
+	t := &replica.Teller{Self: a.self(), Notifier: a.pool, Load: a.dispatcher.Load, Members: a.siblings}
 	t.Start(ctx)
 	s := &replica.Server{Address: a.settings.Requests, Runner: a.dispatcher, Registry: &a.registry}
 	return s.Start(ctx)
@@ -229,8 +229,12 @@
 
 func (a *agent) drain(ctx context.Context) {
 	a.process.SetReady(false)
+	a.dispatcher.Retire()
 	a.spread.Do(ctx, func(now time.Time) { a.spread.SetState(now, facts.StateDraining) })
-	a.terminator.Drain(ctx, a.settings.Drain, a.dispatcher.Refuse)
+	bounded, cancel := context.WithTimeout(ctx, a.settings.Drain.Limit)
+	defer cancel()
+	a.terminator.Drain(bounded, a.settings.Drain, a.dispatcher.Refuse)
+	a.dispatcher.AwaitIdle(bounded)
 	a.spread.Do(ctx, func(now time.Time) { a.spread.SetState(now, facts.StateLeft) })
 	a.terminator.Linger(ctx, a.settings.Drain)
 }
--- a/agent/replica/handover.go
+++ b/agent/replica/handover.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"github.com/coltsfootline/coltsfootline/kernel/events"
 	"github.com/coltsfootline/coltsfootline/kernel/placement"
@@ -119,9 +120,19 @@
 	}
 	events.HandOverFailed.Log(h.Logger, events.Failure(err), slog.String("to", to.Load.Instance))
 	h.Loads.Forget(to.Load.Instance)
+	if neverConnected(err) {
+		h.Counters.Refused.Inc()
+		return nil, VerdictStay
+	}
 	return nil, h.settle(ctx, to, id)
 }
 
+// neverConnected reports that a request failed before it had a connection, so that the other agent can't know of it.
+func neverConnected(err error) bool {
+	var failure *net.OpError
+	return errors.As(err, &failure) && failure.Op == "dial"
+}
+
 func (h *HandOver) prepare() {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	h.transport = &http.Transport{
--- a/agent/replica/handover_test.go
+++ b/agent/replica/handover_test.go
@@ -156,9 +156,10 @@
 	close(o.runner.before)
 }
 
-// TestGoneAgentRunsNothing hands over to an address where no process listens.
+// TestGoneAgentRunsNothing hands over to an address where no process listens, nor answers control messages.
 func TestGoneAgentRunsNothing(t *testing.T) {
 	o := newOther(t)
+	o.mute.Store(true)
 	h, to := o.handOver()
 	o.server.Close()
 	_, verdict := h.Run(context.Background(), newPost(t), nil, to)
--- a/agent/target/dispatcher.go
+++ b/agent/target/dispatcher.go
@@ -25,6 +25,7 @@
 
 const (
 	dialTimeout       = time.Second
+	idlePause         = 10 * time.Millisecond
 	retryAfterDefault = time.Second
 )
 
@@ -43,6 +44,7 @@
 	Counters *Counters
 	Logger   *slog.Logger
 
+	retiring  atomic.Bool
 	refusing  atomic.Bool
 	setUp     sync.Once
 	transport *http.Transport
@@ -63,6 +65,34 @@
 	return &Counters{Answered: named("answered"), NotRun: named("notRun"), Unknown: named("unknown")}
 }
 
+// Retire makes the host take no more requests from other agents.
+func (d *Dispatcher) Retire() {
+	d.retiring.Store(true)
+}
+
+// Load returns what other agents are told: a retiring host offers no slots.
+func (d *Dispatcher) Load(now time.Time) placement.Load {
+	l := d.Slots.Load(now)
+	if d.retiring.Load() {
+		l.Slots = 0
+	}
+	return l
+}
+
+// AwaitIdle waits until no request runs here; it reports false when ctx ended first.
+func (d *Dispatcher) AwaitIdle(ctx context.Context) bool {
+	ticker := time.NewTicker(idlePause)
+	defer ticker.Stop()
+	for d.Slots.Load(time.Now()).Busy > 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
 // Refuse makes every later request end as not run.
 func (d *Dispatcher) Refuse() {
 	d.refusing.Store(true)
@@ -99,7 +129,7 @@
 // ServeHandedOver runs a request that another agent handed over, if a slot is free at once and started agrees.
 func (d *Dispatcher) ServeHandedOver(ctx context.Context, r *http.Request, started func() bool) (*http.Response, bool) {
 	ctx, cancel := withDeadline(ctx, r)
-	if d.refusing.Load() || !d.Slots.TryAcquire(time.Now()) {
+	if d.retiring.Load() || !d.Slots.TryAcquire(time.Now()) {
 		cancel()
 		return notRun(ReasonQueueFull, retryAfterDefault), false
 	}
--- a/agent/target/dispatcher_test.go
+++ b/agent/target/dispatcher_test.go
@@ -142,3 +142,29 @@
 	require.Positive(t, left)
 	require.LessOrEqual(t, left, 60000)
 }
+
+// TestRetiringHostTakesNoHandOver checks that others can't give work to a host once its drain began, and that the host
+// waits for what it took before.
+func TestRetiringHostTakesNoHandOver(t *testing.T) {
+	release := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	t.Cleanup(s.Close)
+	d := newDispatcher(t, s.URL, 2, 1)
+	always := func() bool { return true }
+	taken := make(chan *http.Response, 1)
+	go func() {
+		response, _ := d.ServeHandedOver(context.Background(), newRequest(t, 0), always)
+		taken <- response
+	}()
+	require.Eventually(t, func() bool { return d.Load(time.Now()).Busy == 1 }, 5*time.Second, time.Millisecond)
+	d.Retire()
+	require.Zero(t, d.Load(time.Now()).Free())
+	_, ran := d.ServeHandedOver(context.Background(), newRequest(t, 0), always)
+	require.False(t, ran)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	require.False(t, d.AwaitIdle(ctx))
+	close(release)
+	require.NoError(t, (<-taken).Body.Close())
+	require.True(t, d.AwaitIdle(context.Background()))
+}
--- a/agent/target/queued.go
+++ b/agent/target/queued.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/coltsfootline/coltsfootline/agent/replica"
-	"github.com/coltsfootline/coltsfootline/kernel/placement"
 )
 
 // queued is a request on its way to a slot, here or at another agent.
@@ -76,11 +75,7 @@
 		return false
 	}
 	now := time.Now()
-	own := d.Slots.Load(now)
-	if d.refusing.Load() {
-		own = placement.Load{Instance: own.Instance}
-	}
-	chosen, ok := d.HandOver.Choose(now, own, waited)
+	chosen, ok := d.HandOver.Choose(now, d.Load(now), waited)
 	q.chosen = chosen
 	return ok
 }
--- a/rig/caller/load.go
+++ b/rig/caller/load.go
@@ -49,6 +49,11 @@
 	return now, greatest
 }
 
+// MeanMs is the mean time that a request needs.
+func (l Load) MeanMs() float64 {
+	return l.ShortMs*(1-l.LongShare) + l.LongMs*l.LongShare
+}
+
 // request is one drawn request.
 type request struct {
 	millis       float64
--- a/rig/scenario/crest.go
+++ b/rig/scenario/crest.go
@@ -11,6 +11,7 @@
 	// crestP99Bound and crestGoodputBound are the users' targets.
 	crestP99Bound     = 1.25
 	crestGoodputBound = 0.95
+	crestSlowdown     = 5
 	millisPerSecond   = 1000
 )
 
@@ -24,11 +25,20 @@
 	Scenarios.Register("crest", Scenario{
 		Purpose: "demand rises to four and to ten times within moments",
 		Planned: true,
-		Adjust:  func(l *caller.Load) { l.Surges = crestSurges },
+		Adjust:  surge,
 		Check:   checkCrest,
 	})
 }
 
+// surge uses fewer and longer requests than other scenarios, so that ten times the demand is a matter of slots and not
+// of the machine that runs everything.
+func surge(l *caller.Load) {
+	l.Surges = crestSurges
+	before := l.MeanMs()
+	l.ShortMs *= crestSlowdown
+	l.RequestsPerSecond *= before / l.MeanMs()
+}
+
 // crest collects what happened during surges.
 type crest struct {
 	surges  []caller.Surge
--- a/rig/scenario/scenario.go
+++ b/rig/scenario/scenario.go
@@ -116,12 +116,10 @@
 func (e *Experiment) loads(s Scenario, share int) []caller.Load {
 	var loads []caller.Load
 	for _, size := range e.Cluster.Size.Services {
-		capacity := float64(size.Hosts*size.Slots) * 1000 / (shortMs*(1-longShare) + longMs*longShare)
 		l := caller.Load{
 			Service:           size.Service.Name,
 			Address:           size.Service.Address,
 			Connections:       size.Connections / share,
-			RequestsPerSecond: usualLoad * capacity / float64(share),
 			ShortMs:           shortMs,
 			LongMs:            longMs,
 			LongShare:         longShare,
@@ -129,6 +127,8 @@
 			UploadBytes:       uploadBytes,
 			UnrepeatableShare: unrepeatable,
 		}
+		capacity := float64(size.Hosts*size.Slots) * millisPerSecond / l.MeanMs()
+		l.RequestsPerSecond = usualLoad * capacity / float64(share)
 		if s.Adjust != nil {
 			s.Adjust(&l)
 		}
@@ -209,11 +209,12 @@
 	if s.Planned {
 		always["brokenConnections"] = r.BrokenConnections
 		always["cutAnswers"] = r.CutAnswers
+		always["unknown"] = r.Unknown
 		always["notOpenAtEnd"] = r.Connections - r.OpenAtEnd
 	}
 	if r.LateWorkOnRetiring != nil {
 		always["lateWorkOnRetiring"] = *r.LateWorkOnRetiring
-		cut := r.CutAnswers
+		cut := r.CutAnswers + r.Unknown
 		r.CutByDrain = &cut
 	}
 	for _, name := range sortedKeys(always) {
