Scripted tests of the command lines, and of packets that no entry would send

Cause: exit codes, help and the agent's own check of service and generation had no test. A command line that is not understood (no settings flag, unknown command, stray argument) now exits with 2: it exited with 1. Ruled out: marking the flag as required in the library (its error can't be told from a failure).

--- a/agent/caller/move_test.go
+++ b/agent/caller/move_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"io"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"gvisor.dev/gvisor/pkg/tcpip/header"
 	"pgregory.net/rapid"
 
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
@@ -168,3 +170,34 @@
 		})
 	}
 }
+
+// TestStrangersPacketsAreDropped sends packets that an entry would never send here: none may reach the service.
+func TestStrangersPacketsAreDropped(t *testing.T) {
+	s := newSite(t, 1)
+	opening := func(to string) []byte {
+		return segment{
+			from:   gue.EndpointOf(netip.MustParseAddrPort("10.1.0.9:4000")),
+			to:     gue.EndpointOf(netip.MustParseAddrPort(to)),
+			flags:  header.TCPFlagSyn,
+			window: 1000,
+		}.bytes()
+	}
+	cases := map[gue.Reason]struct {
+		header gue.Header
+		key    gue.Key
+		to     string
+	}{
+		gue.ReasonService:        {gue.Header{Service: 2, Generation: 1}, testKeys.Packet, "10.9.0.1:80"},
+		gue.ReasonGeneration:     {gue.Header{Service: 1, Generation: 2}, testKeys.Packet, "10.9.0.1:80"},
+		gue.ReasonUnknownAddress: {gue.Header{Service: 1, Generation: 1}, testKeys.Packet, "10.9.0.2:80"},
+		gue.ReasonTag:            {gue.Header{Service: 1, Generation: 1}, testKeys.Hash, "10.9.0.1:80"},
+		gue.ReasonHops:           {gue.Header{Service: 1, Generation: 1, Hops: gue.MaxHops + 1}, testKeys.Packet, "10.9.0.1:80"},
+	}
+	for reason, c := range cases {
+		b := append(make([]byte, gue.HeaderLength), opening(c.to)...)
+		c.header.Put(b, c.key)
+		s.agents[0].receive(b, time.Now())
+		require.Equal(t, uint64(1), s.agents[0].Counters.dropped[reason].Get(), reason.String())
+	}
+	require.Empty(t, s.agents[0].flows.all())
+}
--- /dev/null
+++ b/agent/cmd/script_test.go
@@ -0,0 +1,19 @@
+package cmd
+
+import (
+	"os"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"agent": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// TestScripts runs the program as an operator would.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata/scripts"})
+}
--- /dev/null
+++ b/coltsfootline/cmd/commands_test.go
@@ -0,0 +1,117 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootline/coltsfootline/kernel/command"
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/peer"
+	"github.com/coltsfootline/coltsfootline/kernel/settingstest"
+)
+
+// fleet answers as the instances of a small installation would.
+type fleet struct {
+	t       *testing.T
+	members []facts.Member
+	silent  map[string]bool
+	called  []string
+}
+
+func newFleet(t *testing.T) *fleet {
+	return &fleet{t: t, silent: map[string]bool{}, members: []facts.Member{
+		{Instance: "catalogue-1", Role: facts.RoleAgent, Service: "catalogue", DataCentre: "north", State: facts.StateServing, Control: address(2)},
+		{Instance: "catalogue-2", Role: facts.RoleAgent, Service: "catalogue", DataCentre: "south", State: facts.StateDown, Control: address(3)},
+		{Instance: "entry-1", Role: facts.RoleEntry, DataCentre: "north", State: facts.StateServing, Control: address(1)},
+	}}
+}
+
+func address(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+}
+
+func (f *fleet) Call(_ context.Context, to netip.AddrPort, method string, _, result any) error {
+	f.called = append(f.called, method)
+	for _, m := range f.members {
+		if m.Control == to && f.silent[m.Instance] {
+			return &peer.CallError{Peer: to, Method: method, Cause: context.DeadlineExceeded}
+		}
+	}
+	reply := any(peer.StatusReply{Digest: 7, Open: 5, Busy: 2, Waiting: 1})
+	switch method {
+	case peer.MethodExchange:
+		reply = f.exchange()
+	case peer.MethodDrain:
+		reply = peer.DrainReply{Open: 5}
+	}
+	text, err := json.Marshal(reply)
+	require.NoError(f.t, err)
+	return json.Unmarshal(text, result)
+}
+
+func (f *fleet) exchange() peer.ExchangeReply {
+	var reply peer.ExchangeReply
+	for _, m := range f.members {
+		fact, err := m.Fact(1, 1)
+		require.NoError(f.t, err)
+		reply.Facts = append(reply.Facts, fact)
+	}
+	return reply
+}
+
+func (f *fleet) run(arguments ...string) (string, int) {
+	var out, errorOut bytes.Buffer
+	code := command.Execute(newRoot(f), arguments, &out, &errorOut)
+	return out.String() + errorOut.String(), code
+}
+
+func TestStatusTable(t *testing.T) {
+	text, code := newFleet(t).run("status")
+	require.Zero(t, code)
+	settingstest.Check(t, "testdata/status.golden", text)
+}
+
+func TestStatusJSON(t *testing.T) {
+	text, code := newFleet(t).run("status", "--json")
+	require.Zero(t, code)
+	settingstest.Check(t, "testdata/statusJson.golden", text)
+}
+
+func TestDrain(t *testing.T) {
+	f := newFleet(t)
+	text, code := f.run("drain", "catalogue-1")
+	require.Zero(t, code)
+	require.Equal(t, "catalogue-1: draining 5 connections\n", text)
+	require.Contains(t, f.called, peer.MethodDrain)
+}
+
+func TestDryDrainChangesNothing(t *testing.T) {
+	f := newFleet(t)
+	text, code := f.run("drain", "--dry-run", "catalogue-1")
+	require.Zero(t, code)
+	require.Equal(t, "catalogue-1: would move 5 connections\n", text)
+	require.NotContains(t, f.called, peer.MethodDrain)
+}
+
+func TestDrainOfAStranger(t *testing.T) {
+	text, code := newFleet(t).run("drain", "entry-1")
+	require.Equal(t, 1, code)
+	require.Contains(t, text, "no agent is called entry-1")
+}
+
+func TestDoctorFindsSilentInstances(t *testing.T) {
+	f := newFleet(t)
+	f.members = append(f.members[:1], f.members[2])
+	text, code := f.run("doctor")
+	require.Zero(t, code)
+	require.Equal(t, "ok\n", text)
+	f.silent["catalogue-1"] = true
+	text, code = f.run("doctor")
+	require.Equal(t, 1, code)
+	require.Contains(t, text, "catalogue-1: serving, does not answer")
+}
--- a/entry/cmd/settings_test.go
+++ b/entry/cmd/settings_test.go
@@ -18,6 +18,9 @@
 	require.Equal(t, 0, Main([]string{"validate", "--settings", "testdata/settings/valid.yaml"}, discard{}, discard{}))
 	require.Equal(t, 2, Main([]string{"run", "--settings", "testdata/settings/absent.yaml"}, discard{}, discard{}))
 	require.Equal(t, 2, Main([]string{"run", "--unknown"}, discard{}, discard{}))
+	require.Equal(t, 2, Main([]string{"run"}, discard{}, discard{}))
+	require.Equal(t, 2, Main([]string{"walk"}, discard{}, discard{}))
+	require.Equal(t, 2, Main([]string{"run", "stray"}, discard{}, discard{}))
 }
 
 type discard struct{}
--- a/kernel/command/program.go
+++ b/kernel/command/program.go
@@ -72,6 +72,8 @@
 
 // Execute runs the command with arguments and returns the exit code.
 func Execute(root *cobra.Command, arguments []string, out, errorOut io.Writer) int {
+	started := false
+	root.PersistentPreRun = func(*cobra.Command, []string) { started = true }
 	root.SetArgs(arguments)
 	root.SetOut(out)
 	root.SetErr(errorOut)
@@ -80,6 +82,9 @@
 		return process.ExitOK
 	}
 	_, _ = fmt.Fprintln(errorOut, root.Name()+": "+err.Error())
+	if !started {
+		return process.ExitSettings
+	}
 	return exitCode(err)
 }
 
--- a/kernel/command/runCmd.go
+++ b/kernel/command/runCmd.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/coltsfootline/coltsfootline/kernel/settings"
@@ -8,6 +9,16 @@
 
 const settingsFlag = "settings"
 
+// MissingFlagError reports a flag that must be given.
+type MissingFlagError struct {
+	Flag string
+}
+
+// Error names the flag.
+func (e *MissingFlagError) Error() string {
+	return "--" + e.Flag + " is required"
+}
+
 type runCmd[S settings.Checked] struct {
 	program *Program[S]
 	file    string
@@ -35,7 +46,12 @@
 }
 
 func addSettingsFlag(cmd *cobra.Command, file *string) {
-	cmd.Flags().StringVarP(file, settingsFlag, "s", "", "YAML settings file")
-	_ = cmd.MarkFlagRequired(settingsFlag)
+	cmd.Flags().StringVarP(file, settingsFlag, "s", "", "YAML settings file, required")
+	cmd.PreRunE = func(*cobra.Command, []string) error {
+		if *file == "" {
+			return errors.WithStack(&UsageError{Cause: &MissingFlagError{Flag: settingsFlag}})
+		}
+		return nil
+	}
 	_ = cmd.MarkFlagFilename(settingsFlag, "yaml", "yml")
 }
