Long requests hold half of a host's slots at most

Change: agents learn from completions which routes run more than five times the service's mean; such requests hold half of the slots at most, wait in the same queue and are passed by short ones; hand-over knows the limit too.

--- a/agent/replica/handover.go
+++ b/agent/replica/handover.go
@@ -88,13 +88,13 @@
 }
 
 // Choose returns the agent that should run a request which arrived here.
-func (h *HandOver) Choose(now time.Time, own placement.Load, waited bool) (Peer, bool) {
+func (h *HandOver) Choose(now time.Time, own placement.Load, r placement.Request) (Peer, bool) {
 	peers := h.Loads.Fresh(now)
 	loads := make([]placement.Load, len(peers))
 	for i, p := range peers {
 		loads[i] = p.Load
 	}
-	i := h.Policy.Choose(own, loads, waited)
+	i := h.Policy.Choose(own, loads, r)
 	if i < 0 {
 		return Peer{}, false
 	}
--- a/agent/target/dispatcher.go
+++ b/agent/target/dispatcher.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -112,15 +113,22 @@
 	return response
 }
 
+// routeOf names the kind of a request: its method and the first element of its path.
+func routeOf(r *http.Request) string {
+	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	return r.Method + " /" + first
+}
+
 // runHere runs a request for which a slot is held.
-func (d *Dispatcher) runHere(ctx context.Context, r *http.Request) (response *http.Response, ran bool) {
+func (d *Dispatcher) runHere(ctx context.Context, r *http.Request, long bool) (response *http.Response, ran bool) {
 	body := &lentBody{body: r.Body}
 	r.Body = body
 	begin := time.Now()
+	route := routeOf(r)
 	response, ran = d.run(ctx, r)
 	finish := func() {
 		body.takeBack()
-		d.Slots.Release(time.Since(begin))
+		d.Slots.Release(route, time.Since(begin), long)
 	}
 	response.Body = &finalBody{ReadCloser: response.Body, finish: finish}
 	return response, ran
@@ -129,16 +137,17 @@
 // ServeHandedOver runs a request that another agent handed over, if a slot is free at once and started agrees.
 func (d *Dispatcher) ServeHandedOver(ctx context.Context, r *http.Request, started func() bool) (*http.Response, bool) {
 	ctx, cancel := withDeadline(ctx, r)
-	if d.retiring.Load() || !d.Slots.TryAcquire(time.Now()) {
+	long := d.Slots.Long(routeOf(r))
+	if d.retiring.Load() || !d.Slots.TryAcquire(time.Now(), long) {
 		cancel()
 		return notRun(ReasonQueueFull, retryAfterDefault), false
 	}
 	if !started() {
-		d.Slots.GiveBack()
+		d.Slots.GiveBack(long)
 		cancel()
 		return notRun(ReasonCancelled, retryAfterDefault), false
 	}
-	response, ran := d.runHere(ctx, r)
+	response, ran := d.runHere(ctx, r, long)
 	response.Body = &finalBody{ReadCloser: response.Body, finish: cancel}
 	return response, ran
 }
--- a/agent/target/dispatcher_test.go
+++ b/agent/target/dispatcher_test.go
@@ -57,7 +57,7 @@
 	d := newDispatcher(t, "http://"+l.Addr().String(), 1, 1)
 	p := problemOf(t, d.Serve(context.Background(), newRequest(t, 0)))
 	require.Equal(t, Problem{Type: ProblemNotRun, Title: p.Title, Status: 503, Reason: ReasonUnreachable}, p)
-	require.True(t, d.Slots.TryAcquire(time.Now()), "the slot is free again")
+	require.True(t, d.Slots.TryAcquire(time.Now(), false), "the slot is free again")
 }
 
 // TestLostAnswerIsUnknown has the target take the request and break off: it must not be called not run.
@@ -168,3 +168,21 @@
 	require.NoError(t, (<-taken).Body.Close())
 	require.True(t, d.AwaitIdle(context.Background()))
 }
+
+// TestLongRequestsLeaveSlots checks that long requests hold half of the slots at most and that short ones pass them.
+func TestLongRequestsLeaveSlots(t *testing.T) {
+	s := &Slots{Count: 4, Queue: 10}
+	now := time.Unix(1000, 0)
+	require.True(t, s.TryAcquire(now, true))
+	require.True(t, s.TryAcquire(now, true))
+	require.False(t, s.TryAcquire(now, true))
+	waiting := make(chan Reason, 1)
+	go func() { waiting <- s.Acquire(context.Background(), true, false, func() bool { return false }) }()
+	require.Eventually(t, func() bool { return s.Load(now).Waiting == 1 }, 5*time.Second, time.Millisecond)
+	require.True(t, s.TryAcquire(now, false), "a short request passes a long one that waits")
+	require.True(t, s.TryAcquire(now, false))
+	s.Release("POST /run", time.Millisecond, false)
+	require.Equal(t, 1, s.Load(now).Waiting, "a slot for short requests is not given to a long one")
+	s.Release("POST /batch", time.Second, true)
+	require.Equal(t, Reason(""), <-waiting)
+}
--- a/agent/target/queued.go
+++ b/agent/target/queued.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/coltsfootline/coltsfootline/agent/replica"
+	"github.com/coltsfootline/coltsfootline/kernel/placement"
 )
 
 // queued is a request on its way to a slot, here or at another agent.
@@ -16,6 +17,7 @@
 	request    *http.Request
 	body       []byte
 	movable    bool
+	long       bool
 	chosen     replica.Peer
 }
 
@@ -36,6 +38,7 @@
 
 func (q *queued) serve(ctx context.Context) *http.Response {
 	d := q.dispatcher
+	q.long = d.Slots.Long(routeOf(q.request))
 	if q.elsewhere(false) {
 		if response, verdict := q.handOver(ctx); verdict != replica.VerdictStay {
 			return response
@@ -46,7 +49,7 @@
 	}
 	inFront := false
 	for {
-		reason := d.Slots.Acquire(ctx, inFront, func() bool { return q.elsewhere(true) })
+		reason := d.Slots.Acquire(ctx, q.long, inFront, func() bool { return q.elsewhere(true) })
 		if reason == "" {
 			return q.runHere(ctx)
 		}
@@ -64,7 +67,7 @@
 	if q.movable {
 		q.request.Body = io.NopCloser(bytes.NewReader(q.body))
 	}
-	response, _ := q.dispatcher.runHere(ctx, q.request)
+	response, _ := q.dispatcher.runHere(ctx, q.request, q.long)
 	return response
 }
 
@@ -75,7 +78,7 @@
 		return false
 	}
 	now := time.Now()
-	chosen, ok := d.HandOver.Choose(now, d.Load(now), waited)
+	chosen, ok := d.HandOver.Choose(now, d.Load(now), placement.Request{Waited: waited, Long: q.long})
 	q.chosen = chosen
 	return ok
 }
--- a/agent/target/slots.go
+++ b/agent/target/slots.go
@@ -22,41 +22,69 @@
 	mutex   sync.Mutex
 	busy    int
 	meter   placement.Meter
-	service placement.ServiceTime
+	long    int
+	times   placement.RouteTimes
 	waiting []*waiter
 }
 
 type waiter struct {
+	long     bool
 	admitted chan struct{}
 }
 
-// TryAcquire takes a slot if one is free and nobody waits.
-func (s *Slots) TryAcquire(now time.Time) bool {
+// Long reports that requests of a route are expected to run much longer than others.
+func (s *Slots) Long(route string) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.tryLocked(now)
+	return s.times.Long(route)
 }
 
-func (s *Slots) tryLocked(now time.Time) bool {
-	if s.busy >= s.Count || len(s.waiting) > 0 {
+// TryAcquire takes a slot if one is free for such a request and nobody waits for it.
+func (s *Slots) TryAcquire(now time.Time, long bool) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.tryLocked(now, long)
+}
+
+func (s *Slots) tryLocked(now time.Time, long bool) bool {
+	if !s.admits(long) || s.firstAdmitted() >= 0 {
 		return false
 	}
-	s.change(now, 1)
+	s.change(now, 1, long)
 	return true
 }
 
+// admits reports that a slot is free for such a request: long ones hold a part of the slots at most, so that a short
+// one never waits for long ones only.
+func (s *Slots) admits(long bool) bool {
+	return s.busy < s.Count && (!long || s.long < placement.LongLimit(s.Count))
+}
+
+// firstAdmitted is the place in the queue of the first request that a slot is free for, or -1.
+func (s *Slots) firstAdmitted() int {
+	for i, w := range s.waiting {
+		if s.admits(w.long) {
+			return i
+		}
+	}
+	return -1
+}
+
 // change counts the slots in use until now, then changes their number.
-func (s *Slots) change(now time.Time, by int) {
+func (s *Slots) change(now time.Time, by int, long bool) {
 	s.meter.Advance(now, s.busy, s.Count)
 	s.busy += by
+	if long {
+		s.long += by
+	}
 }
 
 // Acquire waits for a slot. It returns "" with a slot held, or the reason why there is none; the reason is
 // ReasonElsewhere when elsewhere, asked now and then while the request waits, wants to run it at another agent.
 // A request that comes back from there waits in front.
-func (s *Slots) Acquire(ctx context.Context, inFront bool, elsewhere func() bool) Reason {
+func (s *Slots) Acquire(ctx context.Context, long, inFront bool, elsewhere func() bool) Reason {
 	s.mutex.Lock()
-	if s.tryLocked(time.Now()) {
+	if s.tryLocked(time.Now(), long) {
 		s.mutex.Unlock()
 		return ""
 	}
@@ -64,7 +92,7 @@
 		s.mutex.Unlock()
 		return reason
 	}
-	w := &waiter{admitted: make(chan struct{})}
+	w := &waiter{long: long, admitted: make(chan struct{})}
 	if inFront {
 		s.waiting = append([]*waiter{w}, s.waiting...)
 	} else {
@@ -79,7 +107,7 @@
 	if len(s.waiting) >= s.Queue {
 		return ReasonQueueFull
 	}
-	expected := s.service.Wait(len(s.waiting), s.Count)
+	expected := s.times.Wait(len(s.waiting), s.Count)
 	if s.MaxWait > 0 && expected > s.MaxWait {
 		return ReasonOverload
 	}
@@ -93,7 +121,7 @@
 func (s *Slots) ExpectedWait() time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.service.Wait(len(s.waiting), s.Count)
+	return s.times.Wait(len(s.waiting), s.Count)
 }
 
 func (s *Slots) await(ctx context.Context, w *waiter, elsewhere func() bool) Reason {
@@ -123,14 +151,14 @@
 	if s.withdraw(w) {
 		return
 	}
-	s.GiveBack()
+	s.GiveBack(w.long)
 }
 
 // GiveBack frees a slot in which nothing ran.
-func (s *Slots) GiveBack() {
+func (s *Slots) GiveBack(long bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.passOn()
+	s.passOn(long)
 }
 
 // withdraw takes a waiter out of the queue; it reports false when the waiter was given a slot before.
@@ -153,22 +181,25 @@
 	return ReasonCancelled
 }
 
-// Release gives a slot back, to the first that waits, after it was held for some time.
-func (s *Slots) Release(held time.Duration) {
+// Release gives a slot back that a request of a route held for some time.
+func (s *Slots) Release(route string, held time.Duration, long bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.service.Note(held)
-	s.passOn()
+	s.times.Note(route, held)
+	s.passOn(long)
 }
 
-// passOn gives a slot that is held to the first that waits, or frees it.
-func (s *Slots) passOn() {
-	if len(s.waiting) == 0 {
-		s.change(time.Now(), -1)
+// passOn frees a slot and gives it to the first that waits for such a one.
+func (s *Slots) passOn(long bool) {
+	now := time.Now()
+	s.change(now, -1, long)
+	i := s.firstAdmitted()
+	if i < 0 {
 		return
 	}
-	w := s.waiting[0]
-	s.waiting = s.waiting[1:]
+	w := s.waiting[i]
+	s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+	s.change(now, 1, w.long)
 	close(w.admitted)
 }
 
@@ -182,6 +213,7 @@
 		Slots:    s.Count,
 		Busy:     s.busy,
 		Waiting:  len(s.waiting),
+		Long:     s.long,
 		Recent:   s.meter.Value(),
 	}
 }
--- a/kernel/placement/load.go
+++ b/kernel/placement/load.go
@@ -15,6 +15,8 @@
 	Slots    int    `json:"slots"`
 	Busy     int    `json:"busy"`
 	Waiting  int    `json:"waiting"`
+	// Long is how many of the busy slots long requests hold.
+	Long int `json:"long"`
 	// Recent is the share of slot time in use over about MeterTime, between 0 and 1.
 	Recent float64 `json:"recent"`
 }
@@ -24,6 +26,14 @@
 	return max(l.Slots-l.Busy-l.Waiting, 0)
 }
 
+// FreeFor is Free for a short or a long request.
+func (l Load) FreeFor(long bool) int {
+	if !long {
+		return l.Free()
+	}
+	return min(l.Free(), max(LongLimit(l.Slots)-l.Long, 0))
+}
+
 // Meter averages the use of slots with exponential decay. The zero value is ready to use.
 type Meter struct {
 	value float64
--- a/kernel/placement/policy.go
+++ b/kernel/placement/policy.go
@@ -7,8 +7,15 @@
 // Policy chooses where a request runs that arrived at one agent.
 type Policy interface {
 	// Choose returns the index in others of the agent that should run the request, or -1 for the own one.
-	// waited says that the request already stands in the own queue.
-	Choose(own Load, others []Load, waited bool) int
+	Choose(own Load, others []Load, r Request) int
+}
+
+// Request is what a policy may know of a request.
+type Request struct {
+	// Waited says that the request already stands in the own queue.
+	Waited bool
+	// Long says that the request is expected to run much longer than others.
+	Long bool
 }
 
 // Policies holds the registered policies.
@@ -27,7 +34,7 @@
 type Hash struct{}
 
 // Choose returns -1.
-func (Hash) Choose(Load, []Load, bool) int {
+func (Hash) Choose(Load, []Load, Request) int {
 	return -1
 }
 
@@ -35,14 +42,14 @@
 type Idle struct{}
 
 // Choose returns the agent with the most free slots, or -1.
-func (Idle) Choose(own Load, others []Load, _ bool) int {
-	if own.Free() > 0 {
+func (Idle) Choose(own Load, others []Load, r Request) int {
+	if own.FreeFor(r.Long) > 0 {
 		return -1
 	}
 	best, free := -1, 0
 	for i, l := range others {
-		if l.Free() > free {
-			best, free = i, l.Free()
+		if f := l.FreeFor(r.Long); f > free {
+			best, free = i, f
 		}
 	}
 	return best
@@ -55,17 +62,17 @@
 const evenMargin = 0.01
 
 // Choose returns the agent with a free slot that worked least lately, if that is worth it, or -1.
-func (Even) Choose(own Load, others []Load, waited bool) int {
+func (Even) Choose(own Load, others []Load, r Request) int {
 	best := -1
 	for i, l := range others {
-		if l.Free() > 0 && (best < 0 || l.Recent < others[best].Recent) {
+		if l.FreeFor(r.Long) > 0 && (best < 0 || l.Recent < others[best].Recent) {
 			best = i
 		}
 	}
 	if best < 0 {
 		return -1
 	}
-	if waited || own.Free() == 0 || own.Recent-others[best].Recent > evenMargin {
+	if r.Waited || own.FreeFor(r.Long) == 0 || own.Recent-others[best].Recent > evenMargin {
 		return best
 	}
 	return -1
--- a/kernel/placement/policy_test.go
+++ b/kernel/placement/policy_test.go
@@ -13,6 +13,7 @@
 		Slots:   4,
 		Busy:    rapid.IntRange(0, 4).Draw(t, "busy"),
 		Waiting: rapid.IntRange(0, 3).Draw(t, "waiting"),
+		Long:    rapid.IntRange(0, 4).Draw(t, "long"),
 		Recent:  rapid.Float64Range(0, 1).Draw(t, "recent"),
 	}
 }
@@ -25,9 +26,9 @@
 		rapid.Check(t, func(t *rapid.T) {
 			own := drawLoad(t)
 			others := rapid.SliceOf(rapid.Custom(drawLoad)).Draw(t, "others")
-			chosen := p.Choose(own, others, rapid.Bool().Draw(t, "waited"))
-			if chosen >= 0 {
-				require.Positive(t, others[chosen].Free())
+			r := Request{Waited: rapid.Bool().Draw(t, "waited"), Long: rapid.Bool().Draw(t, "long")}
+			if chosen := p.Choose(own, others, r); chosen >= 0 {
+				require.Positive(t, others[chosen].FreeFor(r.Long))
 			}
 		})
 	}
@@ -36,9 +37,9 @@
 func TestEvenPrefersTheLeastWorked(t *testing.T) {
 	own := Load{Slots: 4, Recent: 0.6}
 	others := []Load{{Slots: 4, Recent: 0.5}, {Slots: 4, Recent: 0.3}, {Slots: 4, Busy: 4, Recent: 0.1}}
-	require.Equal(t, 1, Even{}.Choose(own, others, false))
-	require.Equal(t, -1, Even{}.Choose(Load{Slots: 4, Recent: 0.3}, others, false))
-	require.Equal(t, 1, Even{}.Choose(Load{Slots: 4, Busy: 4}, others, false))
+	require.Equal(t, 1, Even{}.Choose(own, others, Request{}))
+	require.Equal(t, -1, Even{}.Choose(Load{Slots: 4, Recent: 0.3}, others, Request{}))
+	require.Equal(t, 1, Even{}.Choose(Load{Slots: 4, Busy: 4}, others, Request{}))
 }
 
 func TestMeterFollowsUse(t *testing.T) {
--- a/rig/caller/connection.go
+++ b/rig/caller/connection.go
@@ -43,7 +43,7 @@
 		if c.socket == nil && !c.dial(ctx) {
 			continue
 		}
-		c.ask(ctx, c.load.draw(c.random))
+		c.ask(ctx, c.load.draw(c.random, c.process.sinceStart(time.Now())))
 		if c.socket != nil && c.random.Float64() < c.load.RedialShare {
 			c.hangUp()
 		}
@@ -167,7 +167,11 @@
 		method = http.MethodPost
 		body = bytes.NewReader(target.Filler(stamp, r.upload))
 	}
-	url := "http://" + c.load.Address.String() + "/run?" + target.FieldMillis + "=" +
+	path := "/run?"
+	if r.long {
+		path = "/batch?"
+	}
+	url := "http://" + c.load.Address.String() + path + target.FieldMillis + "=" +
 		strconv.FormatFloat(r.millis, 'f', 2, 64) + "&" + target.FieldBytes + "=" + strconv.Itoa(r.bytes)
 	m, err := http.NewRequestWithContext(ctx, method, url, body)
 	if err != nil {
--- a/rig/caller/load.go
+++ b/rig/caller/load.go
@@ -17,8 +17,10 @@
 	ShortMs           float64 `yaml:"shortMs"`
 	LongMs            float64 `yaml:"longMs"`
 	LongShare         float64 `yaml:"longShare"`
-	AnswerBytes       int     `yaml:"answerBytes"`
-	UploadBytes       int     `yaml:"uploadBytes"`
+	// LongFromSeconds is when long requests begin.
+	LongFromSeconds float64 `yaml:"longFromSeconds"`
+	AnswerBytes     int     `yaml:"answerBytes"`
+	UploadBytes     int     `yaml:"uploadBytes"`
 	// UnrepeatableShare is the share of requests that are POST without an idempotency key.
 	UnrepeatableShare float64 `yaml:"unrepeatableShare"`
 	// RedialShare is the share of requests after which a caller opens a new connection.
@@ -64,13 +66,13 @@
 	final        bool
 }
 
-func (l Load) draw(random *rand.Rand) request {
+func (l Load) draw(random *rand.Rand, after time.Duration) request {
 	r := request{
 		millis:       l.ShortMs * (0.5 + random.Float64()),
 		bytes:        random.IntN(2*l.AnswerBytes + 1),
 		unrepeatable: random.Float64() < l.UnrepeatableShare,
 	}
-	if random.Float64() < l.LongShare {
+	if random.Float64() < l.LongShare && after.Seconds() >= l.LongFromSeconds {
 		r.long = true
 		r.millis = l.LongMs * (0.5 + random.Float64())
 	}
--- a/rig/scenario/judge.go
+++ b/rig/scenario/judge.go
@@ -55,6 +55,7 @@
 	long := hdrhistogram.New(1, greatestLatencyUs, histogramDigits)
 	var ideals []arrival
 	crest := newCrest(loads)
+	split := newPhases(loads)
 	for _, file := range outcomeFiles {
 		outcomes, err := readLines[caller.Outcome](file)
 		if err != nil {
@@ -64,6 +65,7 @@
 			judgeOutcome(o, runs, r)
 			recordLatency(o, short, long)
 			crest.note(o)
+			split.note(o)
 			if !o.Final && o.Kind != caller.KindDial {
 				ideals = append(ideals, arrival{service: o.Service, at: float64(o.AtMs), work: o.WorkMs, counts: !o.Long})
 			}
@@ -71,6 +73,7 @@
 	}
 	r.IdealShortP99Ms = idealP99(ideals, c.Size)
 	crest.sumUp(c.Size, r)
+	split.sumUp(r)
 	r.ShortP50Ms = float64(short.ValueAtQuantile(50)) / microsPerMilli
 	r.ShortP99Ms = float64(short.ValueAtQuantile(99)) / microsPerMilli
 	if long.TotalCount() > 0 {
--- a/rig/scenario/result.go
+++ b/rig/scenario/result.go
@@ -37,6 +37,9 @@
 	IdealCrestP99Ms *float64 `json:"idealCrestP99Ms,omitempty"`
 	// CrestGoodput is the answered work over the slot time of the highest surge.
 	CrestGoodput *float64 `json:"crestGoodput,omitempty"`
+	// ShortP99WithoutMs and ShortP99WithMs are the p99 of short requests before and after stragglers began.
+	ShortP99WithoutMs *float64 `json:"shortP99WithoutMs,omitempty"`
+	ShortP99WithMs    *float64 `json:"shortP99WithMs,omitempty"`
 	// ControlBytesPerSecond is the greatest of any process, read and written together.
 	ControlBytesPerSecond float64 `json:"controlBytesPerSecond"`
 	// BrokenPromises says which bounds of the scenario were passed.
