The remains of a finished connection no longer answer for its port

An agent keeps a finished connection's entry for 10 s. When the caller used the same port again and the table had changed, the new connection lived at another agent; a packet of it that an entry with the older table sent to the first was given to that agent's stack, which answered with an RST. Locate and announce also took such an entry for a holder. Ruled out: a wrong verdict of locate (nobody was asked in this case: the entry was there); shorter lingering (late packets of the old connection would then be answered with RST). Change: a finished entry keeps only packets near the end of its own connection; any other makes the flow unknown again; it no longer counts as held. Measured: TestReusedPortIsNotReset failed before (connection reset), passes now.

--- a/agent/caller/announcer.go
+++ b/agent/caller/announcer.go
@@ -73,6 +73,9 @@
 }
 
 func (t *Terminator) noteHolder(f *flow, found bool, holder netip.AddrPort, epoch uint64, now time.Time) {
+	if found && f.finished() {
+		t.recycle(f)
+	}
 	known := found && (f.state != stateForeign && f.state != statePending || f.epoch > epoch)
 	if known || holder == t.Self.Packets {
 		return
--- a/agent/caller/flow.go
+++ b/agent/caller/flow.go
@@ -174,7 +174,17 @@
 	return o.TSVal, o.TSEcr, o.TS
 }
 
-// finished reports that both the HTTP side and the packets show the end of the connection.
+// finished reports that this agent held the connection and that both the HTTP side and the packets show its end.
 func (f *flow) finished() bool {
-	return f.ending && !f.closed.IsZero()
+	return f.state == stateLocal && f.ending && !f.closed.IsZero()
+}
+
+// lateWindow is how far behind the end of a finished connection its late packets may lie, in octets.
+const lateWindow = 1 << 20
+
+// late reports that a packet belongs to the finished connection and not to a later one of the same addresses and ports.
+func (f *flow) late(p gue.Packet) bool {
+	behindCaller := f.callerNext - p.TCP.SequenceNumber()
+	behindLocal := f.localNext - p.TCP.AckNumber()
+	return behindCaller <= lateWindow && behindLocal <= lateWindow
 }
--- a/agent/caller/locator.go
+++ b/agent/caller/locator.go
@@ -260,6 +260,9 @@
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if f.finished() {
+		return Location{}
+	}
 	switch f.state {
 	case stateLocal, stateOffered:
 		return Location{At: t.Self.Packets, Epoch: f.epoch}
--- a/agent/caller/move_test.go
+++ b/agent/caller/move_test.go
@@ -201,3 +201,26 @@
 	}
 	require.Empty(t, s.agents[0].flows.all())
 }
+
+// TestReusedPortIsNotReset plants the remains of an earlier connection of the same addresses and ports at the other agent.
+func TestReusedPortIsNotReset(t *testing.T) {
+	s := newSite(t, 2)
+	c := s.dial()
+	c.ask()
+	from := s.holder()
+	other := s.agents[1-from]
+	key := s.agents[from].flows.all()[0].key
+	f, found := other.flows.findOrAdd(key, key.Hash(testKeys.Hash))
+	if found {
+		f.mutex.Lock()
+	}
+	f.state = stateLocal
+	f.epoch = 1
+	f.tracking = tracking{callerNext: 1000, localNext: 2000, opened: true, ending: true}
+	f.boundary = &boundary{}
+	f.closed = time.Now()
+	f.mutex.Unlock()
+	for range 5 {
+		require.Equal(t, s.members[from].Instance, c.ask())
+	}
+}
--- a/agent/caller/prepare.go
+++ b/agent/caller/prepare.go
@@ -65,6 +65,9 @@
 		f.mutex.Lock()
 	}
 	defer f.mutex.Unlock()
+	if found && f.finished() {
+		t.recycle(f)
+	}
 	if found && f.state != stateForeign && f.state != statePending || f.epoch >= r.Epoch {
 		return nil
 	}
--- a/agent/caller/receiver.go
+++ b/agent/caller/receiver.go
@@ -124,7 +124,7 @@
 		t.forward(f, a)
 		return
 	}
-	if former := t.formerOwners(f.hash, now); len(former) > 0 && f.state != statePending {
+	if former := t.formerOwners(f.hash, now); len(former) > 0 {
 		t.ask(f, a, former, now)
 		return
 	}
@@ -185,8 +185,9 @@
 }
 
 func (t *Terminator) toStack(f *flow, a arrival, now time.Time) {
-	if a.packet.IsOpening() && a.packet.TCP.SequenceNumber() != f.callerInitial && f.finished() {
-		t.reopen(a, f, now)
+	if f.finished() && (a.packet.IsOpening() || !f.late(a.packet)) {
+		t.recycle(f)
+		t.first(f, a, now)
 		return
 	}
 	f.fromCaller(a.packet)
@@ -196,15 +197,15 @@
 	}
 }
 
-// reopen replaces a finished flow whose caller uses the same port again.
-func (t *Terminator) reopen(a arrival, f *flow, now time.Time) {
-	c := f.conn
+// recycle clears a finished flow whose caller uses the same port again.
+func (t *Terminator) recycle(f *flow) {
+	if f.conn != nil {
+		f.conn.abort()
+	}
 	f.conn = nil
 	f.closed = time.Time{}
-	if c != nil {
-		c.abort()
-	}
-	t.place(f, a, now)
+	f.state = statePending
+	f.epoch = 0
 }
 
 // forward sends a packet on to the agent that holds its flow.
