The load tool spreads its last requests

Change: the last requests are spread by half a millisecond a connection. Ruled out: leaving the last requests out of the counts (they are the proof that the connections stand).

--- a/rig/caller/connection.go
+++ b/rig/caller/connection.go
@@ -17,6 +17,9 @@
 	"github.com/coltsfootline/coltsfootline/rig/target"
 )
 
+// finalSpacing spreads the last requests of all connections, so that they are no crest of their own.
+const finalSpacing = time.Millisecond / 2
+
 // connection is one long-lived connection that sends one request after the other.
 type connection struct {
 	process *Process
@@ -50,6 +53,7 @@
 	}
 	// The connection proves that it is still of use.
 	c.retryAfter = 0
+	time.Sleep(time.Duration(c.random.Float64() * float64(c.load.Connections) * float64(finalSpacing)))
 	if c.socket != nil || c.dial(ctx) {
 		c.ask(ctx, request{millis: 1, bytes: 100, final: true})
 	}
