--- a/coltsfootline/cmd/commands_test.go
+++ b/coltsfootline/cmd/commands_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/coltsfootline/coltsfootline/kernel/command"
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/golden"
 	"github.com/coltsfootline/coltsfootline/kernel/peer"
-	"github.com/coltsfootline/coltsfootline/kernel/settingstest"
 )
 
 // fleet answers as the instances of a small installation would.
@@ -73,13 +73,13 @@
 func TestStatusTable(t *testing.T) {
 	text, code := newFleet(t).run("status")
 	require.Zero(t, code)
-	settingstest.Check(t, "testdata/status.golden", text)
+	golden.Check(t, "testdata/status.golden", text)
 }
 
 func TestStatusJSON(t *testing.T) {
 	text, code := newFleet(t).run("status", "--json")
 	require.Zero(t, code)
-	settingstest.Check(t, "testdata/statusJson.golden", text)
+	golden.Check(t, "testdata/statusJson.golden", text)
 }
 
 func TestDrain(t *testing.T) {
--- a/entry/cmd/settings_test.go
+++ b/entry/cmd/settings_test.go
@@ -5,12 +5,12 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/coltsfootline/coltsfootline/kernel/golden"
 	"github.com/coltsfootline/coltsfootline/kernel/settings"
-	"github.com/coltsfootline/coltsfootline/kernel/settingstest"
 )
 
 func TestSettingsFaults(t *testing.T) {
-	settingstest.CheckFaults(t, "testdata/settings", func() settings.Checked { return &Settings{Workers: 1} })
+	golden.CheckFaults(t, "testdata/settings", func() settings.Checked { return &Settings{Workers: 1} })
 }
 
 func TestMainExitCodes(t *testing.T) {
--- a/kernel/events/catalogue_test.go
+++ b/kernel/events/catalogue_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"github.com/coltsfootline/coltsfootline/kernel/settingstest"
+	"github.com/coltsfootline/coltsfootline/kernel/golden"
 )
 
 // TestCatalogueIsDocumented compares docs/EVENTS.md with the code.
@@ -17,5 +17,5 @@
 	for _, e := range Catalogue() {
 		fmt.Fprintf(&b, "| %d | %s | %s | %s |\n", e.Number, e.Name, e.Level, e.Text)
 	}
-	settingstest.Check(t, "../../docs/EVENTS.md", b.String())
+	golden.Check(t, "../../docs/EVENTS.md", b.String())
 }
--- a/kernel/settingstest/golden.go
+++ b/kernel/golden/golden.go
@@ -1,5 +1,5 @@
-// Package settingstest compares the faults of settings files with golden files.
-package settingstest
+// Package golden compares texts, and the faults of settings files, with golden files in tests.
+package golden
 
 import (
 	"os"
--- a/rig/scenario/skew.go
+++ b/rig/scenario/skew.go
@@ -7,7 +7,7 @@
 const (
 	skewExponent     = 0.8
 	skewGreatestRate = 20
-	skewLoad         = 0.6
+	heavyLoad        = 0.6
 	// imbalanceBound is the users' target for the greatest over the mean of busy slot time per host.
 	imbalanceBound = 1.05
 )
@@ -17,7 +17,7 @@
 		Purpose: "a few connections make most requests, at 60% load",
 		Planned: true,
 		Adjust: func(l *caller.Load) {
-			l.RequestsPerSecond *= skewLoad / usualLoad
+			l.RequestsPerSecond *= heavyLoad / usualLoad
 			l.Skew = skewExponent
 			l.GreatestRate = skewGreatestRate
 		},
--- a/rig/scenario/stragglers.go
+++ b/rig/scenario/stragglers.go
@@ -29,7 +29,7 @@
 	l.LongShare = stragglerShare
 	l.LongMs = stragglerFactor * l.ShortMs
 	l.LongFromSeconds = stragglersFromSecond
-	l.RequestsPerSecond *= skewLoad / usualLoad * before / l.MeanMs()
+	l.RequestsPerSecond *= heavyLoad / usualLoad * before / l.MeanMs()
 }
 
 // phases splits the latency of short requests at the time when stragglers begin.
