--- a/kernel/peer/spread.go
+++ b/kernel/peer/spread.go
@@ -130,7 +130,7 @@
 	}
 	s.refute(now, kept)
 	s.publish(now)
-	s.passOn(now, kept)
+	s.passOn(kept)
 }
 
 func (s *Spread) loop(ctx context.Context) {
@@ -222,7 +222,7 @@
 }
 
 // passOn sends accepted facts to a bounded number of other instances; exchanges reach the rest.
-func (s *Spread) passOn(_ time.Time, kept []facts.Fact) {
+func (s *Spread) passOn(kept []facts.Fact) {
 	sent := 0
 	peers := s.peers()
 	for _, i := range rand.Perm(len(peers)) {
@@ -234,14 +234,20 @@
 			sent++
 		}
 	}
+	s.passToAgents(kept)
+}
+
+// passToAgents sends accepted facts from an entry to the agents that exchange with it.
+func (s *Spread) passToAgents(kept []facts.Fact) {
 	if s.Self.Role != facts.RoleEntry {
 		return
 	}
 	for _, m := range s.view.Load().Members {
-		if m.Role == facts.RoleAgent && s.detector.Hears(m.Instance) {
-			if l, ok := s.links[m.Control]; ok {
-				l.send(kept)
-			}
+		if m.Role != facts.RoleAgent || !s.detector.Hears(m.Instance) {
+			continue
+		}
+		if l, ok := s.links[m.Control]; ok {
+			l.send(kept)
 		}
 	}
 }
