The load lasts as long as a scenario acts

Cause: since agents linger, replacing every target takes longer than the load of 20 s (replaceBoth at altiplano acted for 89 s of a load of 45 s): the last hosts were replaced without callers. Change: the rig ends the load when the scenario has acted, and no sooner than asked. Ruled out: longer durations by hand (each size needs another).

--- a/rig/caller/caller.go
+++ b/rig/caller/caller.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,8 @@
 	Outcomes io.Writer
 	// Ready is called when every connection was opened once.
 	Ready func()
+	// Stop ends the load early; it may be nil.
+	Stop <-chan os.Signal
 
 	stack   *tcpstack.Stack
 	socket  *net.UDPConn
@@ -85,6 +88,7 @@
 	p.Ready()
 	select {
 	case <-ctx.Done():
+	case <-p.Stop:
 	case <-time.After(time.Duration(p.Settings.Seconds * float64(time.Second))):
 	}
 	close(until)
--- a/rig/cmd/callerCmd.go
+++ b/rig/cmd/callerCmd.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/goccy/go-yaml"
 	"github.com/spf13/cobra"
@@ -46,7 +48,14 @@
 		return err
 	}
 	w := bufio.NewWriterSize(f, 1<<20)
-	p := &caller.Process{Settings: s, Outcomes: w, Ready: func() { _, _ = fmt.Fprintln(cmd.OutOrStdout(), CallerReady) }}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM)
+	p := &caller.Process{
+		Settings: s,
+		Outcomes: w,
+		Ready:    func() { _, _ = fmt.Fprintln(cmd.OutOrStdout(), CallerReady) },
+		Stop:     stop,
+	}
 	summary, err := p.Run(cmd.Context())
 	if err != nil {
 		return err
--- a/rig/scenario/scenario.go
+++ b/rig/scenario/scenario.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/coltsfootline/coltsfootline/kernel"
@@ -74,6 +75,7 @@
 	unrepeatable     = 0.3
 	openTimeout      = 120 * time.Second
 	endTimeout       = 60 * time.Second
+	actTimeout       = 10 * time.Minute
 )
 
 // Say prints progress.
@@ -101,7 +103,8 @@
 		}
 	}
 	e.Say("acted for %.1fs", time.Since(begin).Seconds())
-	if err := e.awaitCallers(&r, o.Duration-time.Since(begin)); err != nil {
+	time.Sleep(o.Duration - time.Since(begin))
+	if err := e.endCallers(&r); err != nil {
 		return r, err
 	}
 	r.ControlBytesPerSecond = greatestRate(traffic, e.controlBytes(ctx), time.Since(begin))
@@ -151,7 +154,7 @@
 			Packets:   netip.MustParseAddrPort("127.0.0.1:0"),
 			Fabric:    e.Cluster.Fabric(),
 			Loads:     e.loads(s, callerProcesses),
-			Seconds:   e.Options.Duration.Seconds(),
+			Seconds:   (e.Options.Duration + actTimeout).Seconds(),
 			Seed:      e.Options.Seed*callerProcesses + uint64(i),
 			Outcomes:  outcomes,
 			TimeoutMs: timeout,
@@ -179,9 +182,13 @@
 	return nil
 }
 
-func (e *Experiment) awaitCallers(r *Result, left time.Duration) error {
+// endCallers ends the load, which lasts as long as the scenario acts and no less than asked.
+func (e *Experiment) endCallers(r *Result) error {
 	for _, p := range e.callers {
-		if err := p.Wait(max(left, 0) + endTimeout); err != nil {
+		p.Signal(syscall.SIGTERM)
+	}
+	for _, p := range e.callers {
+		if err := p.Wait(endTimeout); err != nil {
 			return err
 		}
 		_, summary, _ := strings.Cut(p.Output(), "\n")
