--- a/agent/caller/bench_test.go
+++ b/agent/caller/bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"gvisor.dev/gvisor/pkg/tcpip/header"
 
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
 )
@@ -126,3 +127,48 @@
 		f.mutex.Unlock()
 	}
 }
+
+// BenchmarkAgentFlow opens flows by hand-made segments, so that only the agent's end of each is held.
+func BenchmarkAgentFlow(b *testing.B) {
+	s := newSite(b, 1)
+	agent := s.agents[0]
+	before := heapAfterCollection()
+	n := 0
+	for b.Loop() {
+		from := gue.Endpoint{Address: [4]byte{10, 3, byte(n >> 16), byte(n >> 8)}, Port: uint16(1024 + n&0xff)}
+		opening := segment{from: from, to: gue.EndpointOf(testService.Address), sequence: 1, flags: header.TCPFlagSyn, window: 1000}
+		agent.receive(tagged(opening), time.Now())
+		answer := opening
+		answer.sequence = 2
+		answer.acknowledgment = gue.Flow{Caller: from, Service: opening.to}.InitialSequence(testKeys.Hash, 1) + 1
+		answer.flags = header.TCPFlagAck
+		f := agent.flows.find(gue.Flow{Caller: from, Service: opening.to}, gue.Flow{Caller: from, Service: opening.to}.Hash(testKeys.Hash))
+		for !f.answered() {
+			time.Sleep(10 * time.Microsecond)
+		}
+		agent.receive(tagged(answer), time.Now())
+		for !f.attached() {
+			time.Sleep(10 * time.Microsecond)
+		}
+		n++
+	}
+	b.ReportMetric(float64(heapAfterCollection()-before)/float64(n), "B/flowAgent")
+}
+
+func tagged(s segment) []byte {
+	d := append(make([]byte, gue.HeaderLength), s.bytes()...)
+	gue.Header{Service: 1, Generation: 1}.Put(d, testKeys.Packet)
+	return d
+}
+
+func (f *flow) answered() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.opened
+}
+
+func (f *flow) attached() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.conn != nil
+}
