A target's answer can't carry the agents' own outcome header

Cause: found on reading the change again: the agent that runs a handed-over request copied every header of its target's answer. One with Hand-Over-Outcome: notRun made the first agent take a request that had run for one that had not, and run it a second time. Ruled out: a secret value (the header is the agents' own; a target's copy never means anything). Change: the header is taken out of each answer before the agent sets its own. Measured: TestTargetCannotClaimNotRun failed before (verdict stay in place of answered), passes now.

--- a/agent/replica/handover_test.go
+++ b/agent/replica/handover_test.go
@@ -24,6 +24,7 @@
 	runs   atomic.Int64
 	full   atomic.Bool
 	cut    atomic.Bool
+	forged atomic.Bool
 	before chan struct{}
 }
 
@@ -43,6 +44,9 @@
 	r.runs.Add(1)
 	body, _ := io.ReadAll(q.Body)
 	response := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(string(body)))}
+	if r.forged.Load() {
+		response.Header.Set(OutcomeHeader, outcomeNotRun)
+	}
 	if r.cut.Load() {
 		response.Body = cutBody{}
 		response.Header.Set("Content-Length", "100")
@@ -116,6 +120,16 @@
 	require.Zero(t, o.runner.runs.Load())
 }
 
+// TestTargetCannotClaimNotRun has a target answer with the agents' own header: its request ran and must not run again.
+func TestTargetCannotClaimNotRun(t *testing.T) {
+	o := newOther(t)
+	o.runner.forged.Store(true)
+	h, to := o.handOver()
+	_, verdict := h.Run(context.Background(), newPost(t), nil, to)
+	require.Equal(t, VerdictAnswered, verdict)
+	require.Equal(t, int64(1), o.runner.runs.Load())
+}
+
 func TestCutAnswerReachesTheReader(t *testing.T) {
 	o := newOther(t)
 	o.runner.cut.Store(true)
--- a/agent/replica/server.go
+++ b/agent/replica/server.go
@@ -57,6 +57,7 @@
 	for name, values := range response.Header {
 		w.Header()[name] = values
 	}
+	w.Header().Del(OutcomeHeader)
 	if !ran {
 		w.Header().Set(OutcomeHeader, outcomeNotRun)
 	}
