--- a/agent/replica/loads.go
+++ b/agent/replica/loads.go
@@ -57,7 +57,12 @@
 
 // Sent counts a request handed to an instance until it tells its load again.
 func (l *Loads) Sent(instance string) {
-	l.change(instance, func(p *Peer) { p.Load.Busy++ })
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if t, ok := l.told[instance]; ok {
+		t.peer.Load.Busy++
+		l.told[instance] = t
+	}
 }
 
 // Forget drops an instance that refused a request until it tells its load again.
@@ -66,13 +71,3 @@
 	defer l.mutex.Unlock()
 	delete(l.told, instance)
 }
-
-func (l *Loads) change(instance string, how func(p *Peer)) {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	t, ok := l.told[instance]
-	if ok {
-		how(&t.peer)
-		l.told[instance] = t
-	}
-}
--- a/agent/replica/registry.go
+++ b/agent/replica/registry.go
@@ -36,27 +36,27 @@
 
 // Start reports whether the request may start now: it does once, and not after a cancel.
 func (r *Registry) Start(now time.Time, id string) bool {
-	return r.decide(now, id, true)
+	_, first := r.settle(now, id, true)
+	return first
 }
 
 // Cancel reports whether the request has started; if not, it never will.
 func (r *Registry) Cancel(now time.Time, id string) bool {
-	r.decide(now, id, false)
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.fates[id].started
+	f, _ := r.settle(now, id, false)
+	return f.started
 }
 
-// decide keeps the first fate of a request and reports whether it was this one.
-func (r *Registry) decide(now time.Time, id string, started bool) bool {
+// settle returns a request's fate and whether it was decided by this call; the first decision stands.
+func (r *Registry) settle(now time.Time, id string, started bool) (f fate, first bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.sweep(now)
-	if _, known := r.fates[id]; known {
-		return false
+	if known, ok := r.fates[id]; ok {
+		return known, false
 	}
-	r.fates[id] = fate{started: started, at: now}
-	return true
+	f = fate{started: started, at: now}
+	r.fates[id] = f
+	return f, true
 }
 
 func (r *Registry) sweep(now time.Time) {
--- a/rig/cluster/cluster.go
+++ b/rig/cluster/cluster.go
@@ -79,7 +79,7 @@
 			}
 		}
 	}
-	for _, n := range append(append([]*Node{}, c.Entries...), c.Agents...) {
+	for _, n := range c.Nodes() {
 		if err := c.AwaitReady(ctx, n); err != nil {
 			return err
 		}
@@ -94,7 +94,7 @@
 func (c *Cluster) awaitMembers(ctx context.Context) error {
 	for begin := time.Now(); time.Since(begin) < readyTimeout; time.Sleep(readyPause) {
 		digests := map[uint64]bool{}
-		for _, n := range append(append([]*Node{}, c.Entries...), c.Agents...) {
+		for _, n := range c.Nodes() {
 			var s peer.StatusReply
 			if err := c.Peers.Call(ctx, n.Control, peer.MethodStatus, peer.StatusRequest{}, &s); err != nil {
 				return err
--- a/rig/cluster/operations.go
+++ b/rig/cluster/operations.go
@@ -83,6 +83,16 @@
 	return reply.Moved, err
 }
 
+// Nodes lists every entry in use and every agent that was started.
+func (c *Cluster) Nodes() []*Node {
+	return slices.Concat(c.Entries, c.Agents)
+}
+
+// Running lists the entries in use and the live agents.
+func (c *Cluster) Running() []*Node {
+	return slices.Concat(c.Entries, c.Live())
+}
+
 // Live lists the agents whose process runs.
 func (c *Cluster) Live() []*Node {
 	var live []*Node
--- a/rig/scenario/crest.go
+++ b/rig/scenario/crest.go
@@ -1,8 +1,6 @@
 package scenario
 
 import (
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/coltsfootline/coltsfootline/rig/caller"
 	"github.com/coltsfootline/coltsfootline/rig/cluster"
 )
@@ -43,13 +41,13 @@
 type crest struct {
 	surges  []caller.Surge
 	highest caller.Surge
-	p99     *hdrhistogram.Histogram
+	short   latencies
 	all     []arrival
 	workMs  float64
 }
 
 func newCrest(loads []caller.Load) *crest {
-	c := &crest{p99: hdrhistogram.New(1, greatestLatencyUs, histogramDigits)}
+	c := &crest{short: newLatencies()}
 	if len(loads) == 0 {
 		return c
 	}
@@ -72,7 +70,7 @@
 		return
 	}
 	if counts {
-		_ = c.p99.RecordValue(max(int64(o.Ms*microsPerMilli), 1))
+		c.short.record(o.Ms)
 	}
 	c.workMs += overlap(o.AfterMs+o.Ms-o.WorkMs, o.AfterMs+o.Ms, c.highest)
 }
@@ -101,7 +99,7 @@
 	for _, s := range size.Services {
 		slots += s.Hosts * s.Slots
 	}
-	p99 := float64(c.p99.ValueAtQuantile(99)) / microsPerMilli
+	p99 := c.short.quantileMs(99)
 	ideal := idealP99(c.all, size)
 	goodput := c.workMs / (c.highest.Seconds * millisPerSecond * float64(slots))
 	r.CrestP99Ms, r.IdealCrestP99Ms, r.CrestGoodput = &p99, &ideal, &goodput
--- a/rig/scenario/faulty.go
+++ b/rig/scenario/faulty.go
@@ -99,7 +99,7 @@
 
 func freeze(ctx context.Context, e *Experiment) error {
 	return repeatUntilEnd(ctx, e, func() error {
-		all := append(append([]*cluster.Node{}, e.Cluster.Entries...), e.Cluster.Live()...)
+		all := e.Cluster.Running()
 		n := all[e.Random.IntN(len(all))]
 		d := time.Duration(e.Random.Float64() * float64(freezeTime))
 		e.Say("freezing %s for %v", n.Name, d)
--- a/rig/scenario/judge.go
+++ b/rig/scenario/judge.go
@@ -6,8 +6,6 @@
 	"io"
 	"os"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/coltsfootline/coltsfootline/rig/caller"
 	"github.com/coltsfootline/coltsfootline/rig/cluster"
 	"github.com/coltsfootline/coltsfootline/rig/target"
@@ -51,8 +49,8 @@
 	if err != nil {
 		return err
 	}
-	short := hdrhistogram.New(1, greatestLatencyUs, histogramDigits)
-	long := hdrhistogram.New(1, greatestLatencyUs, histogramDigits)
+	short := newLatencies()
+	long := newLatencies()
 	var ideals []arrival
 	crest := newCrest(loads)
 	split := newPhases(loads)
@@ -74,10 +72,10 @@
 	r.IdealShortP99Ms = idealP99(ideals, c.Size)
 	crest.sumUp(c.Size, r)
 	split.sumUp(r)
-	r.ShortP50Ms = float64(short.ValueAtQuantile(50)) / microsPerMilli
-	r.ShortP99Ms = float64(short.ValueAtQuantile(99)) / microsPerMilli
-	if long.TotalCount() > 0 {
-		p := float64(long.ValueAtQuantile(99)) / microsPerMilli
+	r.ShortP50Ms = short.quantileMs(50)
+	r.ShortP99Ms = short.quantileMs(99)
+	if long.histogram.TotalCount() > 0 {
+		p := long.quantileMs(99)
 		r.LongP99Ms = &p
 	}
 	return nil
@@ -169,7 +167,7 @@
 	}
 }
 
-func recordLatency(o caller.Outcome, short, long *hdrhistogram.Histogram) {
+func recordLatency(o caller.Outcome, short, long latencies) {
 	if o.Kind != caller.KindAnswered || o.Final {
 		return
 	}
@@ -177,5 +175,5 @@
 	if o.Long {
 		h = long
 	}
-	_ = h.RecordValue(max(int64(o.Ms*microsPerMilli), 1))
+	h.record(o.Ms)
 }
--- a/rig/scenario/stragglers.go
+++ b/rig/scenario/stragglers.go
@@ -1,8 +1,6 @@
 package scenario
 
 import (
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/coltsfootline/coltsfootline/rig/caller"
 )
 
@@ -35,13 +33,13 @@
 // phases splits the latency of short requests at the time when stragglers begin.
 type phases struct {
 	from          float64
-	before, after *hdrhistogram.Histogram
+	before, after latencies
 }
 
 func newPhases(loads []caller.Load) *phases {
 	p := &phases{
-		before: hdrhistogram.New(1, greatestLatencyUs, histogramDigits),
-		after:  hdrhistogram.New(1, greatestLatencyUs, histogramDigits),
+		before: newLatencies(),
+		after:  newLatencies(),
 	}
 	if len(loads) > 0 {
 		p.from = loads[0].LongFromSeconds * millisPerSecond
@@ -57,15 +55,15 @@
 	if o.AfterMs >= p.from {
 		h = p.after
 	}
-	_ = h.RecordValue(max(int64(o.Ms*microsPerMilli), 1))
+	h.record(o.Ms)
 }
 
 func (p *phases) sumUp(r *Result) {
 	if p.from == 0 {
 		return
 	}
-	before := float64(p.before.ValueAtQuantile(99)) / microsPerMilli
-	after := float64(p.after.ValueAtQuantile(99)) / microsPerMilli
+	before := p.before.quantileMs(99)
+	after := p.after.quantileMs(99)
 	r.ShortP99WithoutMs, r.ShortP99WithMs = &before, &after
 }
 
--- a/rig/scenario/traffic.go
+++ b/rig/scenario/traffic.go
@@ -7,8 +7,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"github.com/coltsfootline/coltsfootline/rig/cluster"
 )
 
 const controlMetric = "coltsfootline_control_bytes_total"
@@ -16,7 +14,7 @@
 // controlBytes reads how many octets of control messages each process has read and written so far.
 func (e *Experiment) controlBytes(ctx context.Context) map[string]float64 {
 	found := map[string]float64{}
-	for _, n := range append(append([]*cluster.Node{}, e.Cluster.Entries...), e.Cluster.Live()...) {
+	for _, n := range e.Cluster.Running() {
 		if total, ok := sumMetric(ctx, "http://"+n.Admin.String()+"/metrics"); ok {
 			found[n.Name] = total
 		}
--- a/rig/store/store.go
+++ b/rig/store/store.go
@@ -23,7 +23,6 @@
 	objects map[string]store.Object
 	version uint64
 	changed chan struct{}
-	calls   int
 }
 
 // Handler serves GET and PUT of /objects/{name}.
@@ -34,13 +33,6 @@
 	return mux
 }
 
-// Calls returns how many calls were answered.
-func (s *Server) Calls() int {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.calls
-}
-
 func (s *Server) lookUp(name string) (store.Object, bool, chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -52,7 +44,6 @@
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	s.count()
 	name := r.PathValue("name")
 	after, watching := watchedVersion(r)
 	deadline := time.NewTimer(watchWait)
@@ -93,7 +84,6 @@
 }
 
 func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	s.count()
 	expected, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
 	body, readErr := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil || readErr != nil || !json.Valid(body) {
@@ -126,9 +116,3 @@
 	s.changed = make(chan struct{})
 	return o, true
 }
-
-func (s *Server) count() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.calls++
-}
