--- a/agent/cmd/agent.go
+++ b/agent/cmd/agent.go
@@ -56,6 +56,9 @@
 }
 
 func run(ctx context.Context, s *Settings, logs io.Writer) error {
+	if s.Form != "" {
+		return runCarrier(ctx, s, logs)
+	}
 	builder, err := table.Builders.Get(s.Table)
 	if err != nil {
 		return err
--- /dev/null
+++ b/agent/cmd/carrier.go
@@ -0,0 +1,281 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/coltsfootline/coltsfootline/kernel/announce"
+	"github.com/coltsfootline/coltsfootline/kernel/carrier"
+	"github.com/coltsfootline/coltsfootline/kernel/control"
+	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/flow"
+	"github.com/coltsfootline/coltsfootline/kernel/peer"
+	"github.com/coltsfootline/coltsfootline/kernel/plan"
+	"github.com/coltsfootline/coltsfootline/kernel/process"
+	"github.com/coltsfootline/coltsfootline/kernel/store"
+)
+
+const (
+	// finishLimit is how long an agent that stops carries the requests in flight.
+	finishLimit = 1500 * time.Millisecond
+	// finishStep is how often it looks whether they are done.
+	finishStep = 20 * time.Millisecond
+)
+
+// carrierAgent is an agent beside a target that ends its flows itself.
+type carrierAgent struct {
+	settings *Settings
+	process  *process.Process
+	node     *control.Node
+	form     announce.Form
+	packets  *net.UDPConn
+	outbound *net.UDPConn
+
+	// mutex guards what the two sockets' loops and the announcements share.
+	mutex    sync.Mutex
+	core     *flow.Agent
+	tracker  announce.Tracker
+	recorder *carrier.Recorder
+	output   flow.Output
+}
+
+func runCarrier(ctx context.Context, s *Settings, logs io.Writer) error {
+	codec, err := flow.Codecs.Get(s.Form)
+	if err != nil {
+		return err
+	}
+	format, err := plan.Formats.Get(s.Form)
+	if err != nil {
+		return err
+	}
+	form, err := announce.Forms.Get(s.Form)
+	if err != nil {
+		return err
+	}
+	client, err := store.NewClient(s.Store, s.Form)
+	if err != nil {
+		return err
+	}
+	client.OnCall = store.Count
+	logger := events.NewLogger(events.NewWriter(logs), s.Log, s.Instance)
+	a := &carrierAgent{
+		settings: s,
+		process: &process.Process{
+			Admin: s.Admin, Pprof: s.Pprof, Logger: logger, Readiness: s.Readiness, ReadinessPath: s.ReadinessPath,
+		},
+		form:     form,
+		core:     &flow.Agent{Self: s.Packets, Service: s.Service, Target: s.TargetPackets, Codec: codec},
+		tracker:  announce.Tracker{Service: s.Service},
+		recorder: carrier.NewRecorder(logger, metrics.GetDefaultSet()),
+	}
+	a.node = &control.Node{
+		Self: facts.Member{
+			Instance: s.Instance, Role: facts.RoleAgent, DataCentre: s.DataCentre, Service: s.Service,
+			Packets: s.Packets, Control: s.Control, State: facts.StateServing,
+		},
+		Store: client, Format: format, Logger: logger, Seeds: s.Entries,
+		OnMembers: func(time.Time, []facts.Member) {}, OnPlan: a.onPlan, OnOwn: a.restore,
+	}
+	return a.process.Run(ctx, a.serve)
+}
+
+func (a *carrierAgent) serve(ctx context.Context) error {
+	lifetime, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var err error
+	if a.packets, err = carrier.Listen(a.settings.Packets); err != nil {
+		return err
+	}
+	if a.outbound, err = carrier.Listen(a.settings.Outbound); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp4", a.settings.Announcements.String())
+	if err != nil {
+		return errors.WithStack(&process.ListenError{Address: a.settings.Announcements.String(), Cause: err})
+	}
+	if err := a.node.Start(lifetime, map[string]peer.Handler{peer.MethodStatus: peer.Handle(a.status)}); err != nil {
+		return err
+	}
+	server := &announceServer{listener: listener, handler: a.form.Handler(a), logger: a.process.Logger}
+	context.AfterFunc(lifetime, func() { _ = listener.Close() })
+	go server.run()
+	(&carrier.Loop{Socket: a.packets, Stepper: entrySide{a}, Logger: a.process.Logger}).Start(lifetime)
+	(&carrier.Loop{Socket: a.outbound, Stepper: targetSide{a}, Logger: a.process.Logger}).Start(lifetime)
+	<-ctx.Done()
+	a.leave(lifetime)
+	return nil
+}
+
+// leave tells the entries that new flows go elsewhere and lets requests in flight finish.
+func (a *carrierAgent) leave(ctx context.Context) {
+	a.mutex.Lock()
+	a.core.Leave()
+	target, known := a.tracker.Target()
+	a.mutex.Unlock()
+	gone := known && target.State == facts.TargetGone
+	state := facts.StateDraining
+	if gone {
+		state = facts.StateLeft
+	}
+	a.node.Spread.Do(ctx, func(now time.Time) { a.node.Spread.SetState(now, state) })
+	if gone {
+		a.node.Register.Remove(ctx, a.settings.Instance)
+		return
+	}
+	for end := time.Now().Add(finishLimit); time.Now().Before(end); time.Sleep(finishStep) {
+		a.mutex.Lock()
+		busy := a.core.Busy()
+		a.mutex.Unlock()
+		if busy == 0 {
+			return
+		}
+	}
+}
+
+// Accept takes an announcement of the target.
+func (a *carrierAgent) Accept(now time.Time, n announce.Announcement) bool {
+	a.mutex.Lock()
+	target, verdict := a.tracker.Judge(n)
+	if verdict == announce.VerdictSame || verdict == announce.VerdictNews {
+		a.step(now, func(out *flow.Output) { a.core.UseTarget(now, target, true, out) })
+	}
+	a.mutex.Unlock()
+	switch verdict {
+	case announce.VerdictSame:
+		return true
+	case announce.VerdictNews:
+		a.targetChanged(target, "announcement", n.Sequence)
+		return true
+	case announce.VerdictLate:
+		a.Refused(now, "late")
+		// The sender needs no other answer: what it says is already out of date.
+		return true
+	}
+	a.Refused(now, "otherService")
+	return false
+}
+
+// Refused logs an announcement that was not taken.
+func (a *carrierAgent) Refused(_ time.Time, reason string) {
+	metrics.GetOrCreateCounter(`coltsfootline_agent_announcements_refused_total{reason="` + reason + `"}`).Inc()
+	events.AnnouncementRefused.Log(a.process.Logger, slog.String("reason", reason))
+}
+
+func (a *carrierAgent) targetChanged(t facts.Target, source string, sequence uint64) {
+	events.TargetChanged.Log(a.process.Logger, slog.String("target", t.ID), slog.Int64("bornMs", t.BornMs),
+		slog.String("state", string(t.State)), slog.Int("slots", t.Slots), slog.String("source", source),
+		slog.Uint64("sequence", sequence))
+	a.node.Spread.Do(context.Background(), func(now time.Time) { a.node.Spread.SetTarget(now, t) })
+	a.node.Register.Changed()
+}
+
+// restore takes what the store kept about the own target, unless the target itself spoke first.
+func (a *carrierAgent) restore(m facts.Member) {
+	if m.Target == nil || m.Target.State == facts.TargetGone {
+		return
+	}
+	now := time.Now()
+	a.mutex.Lock()
+	restored := a.tracker.Restore(*m.Target)
+	if restored {
+		a.step(now, func(out *flow.Output) { a.core.UseTarget(now, *m.Target, false, out) })
+	}
+	a.mutex.Unlock()
+	if restored {
+		a.targetChanged(*m.Target, "store", 0)
+	}
+}
+
+func (a *carrierAgent) onPlan(p *plan.Plan) {
+	a.mutex.Lock()
+	a.core.UsePlan(p)
+	a.mutex.Unlock()
+	a.process.SetReady(true)
+}
+
+// step runs a decision and sends what it decided; the mutex must be held.
+func (a *carrierAgent) step(now time.Time, decide func(out *flow.Output)) {
+	a.output.Clear()
+	decide(&a.output)
+	a.recorder.Record(now, &a.output, a.deliver(&a.output))
+}
+
+// deliver sends packets for the target from the socket that the target knows, and all others from the own address.
+func (a *carrierAgent) deliver(out *flow.Output) int {
+	failed := 0
+	for _, s := range out.Sends {
+		socket := a.packets
+		if s.To == a.settings.TargetPackets {
+			socket = a.outbound
+		}
+		if _, err := socket.WriteToUDPAddrPort(s.Packet, s.To); err != nil {
+			failed++
+		}
+	}
+	return failed
+}
+
+func (a *carrierAgent) status(context.Context, peer.StatusRequest) (peer.StatusReply, error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return peer.StatusReply{
+		Instance: a.settings.Instance, Digest: a.node.Spread.View().Digest, Open: a.core.Flows(), Busy: a.core.Busy(),
+	}, nil
+}
+
+// entrySide takes packets from entries.
+type entrySide struct{ agent *carrierAgent }
+
+// Packet decides about one packet.
+func (s entrySide) Packet(now time.Time, from netip.AddrPort, packet []byte) {
+	a := s.agent
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.step(now, func(out *flow.Output) { a.core.FromEntry(now, from, packet, out) })
+}
+
+// Tick sweeps the flows.
+func (s entrySide) Tick(now time.Time) {
+	a := s.agent
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.core.Sweep(now)
+	a.recorder.Tick(now)
+}
+
+// targetSide takes packets from the target.
+type targetSide struct{ agent *carrierAgent }
+
+// Packet decides about one packet.
+func (s targetSide) Packet(now time.Time, _ netip.AddrPort, packet []byte) {
+	a := s.agent
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.step(now, func(out *flow.Output) { a.core.FromTarget(now, packet, out) })
+}
+
+// Tick does nothing: the other side sweeps.
+func (targetSide) Tick(time.Time) {}
+
+type announceServer struct {
+	listener net.Listener
+	handler  http.Handler
+	logger   *slog.Logger
+}
+
+func (s *announceServer) run() {
+	err := http.Serve(s.listener, s.handler)
+	if !errors.Is(err, net.ErrClosed) {
+		events.AdminFailed.Log(s.logger, events.Failure(err))
+	}
+}
--- a/agent/cmd/settings.go
+++ b/agent/cmd/settings.go
@@ -3,10 +3,12 @@
 import (
 	"net/netip"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/coltsfootline/coltsfootline/agent/caller"
 	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/flow"
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
 	"github.com/coltsfootline/coltsfootline/kernel/peer"
 	"github.com/coltsfootline/coltsfootline/kernel/placement"
@@ -44,6 +46,17 @@
 	Drain         caller.DrainLimits `yaml:"drain"`
 	Pprof         bool               `yaml:"pprof"`
 	Log           events.Options     `yaml:"log"`
+	// Form is the form of packets, plans, announcements and store; empty means GUE and flows that the agent ends.
+	Form string `yaml:"form"`
+	// Readiness answers at ReadinessPath whether the agent is ready, besides admin.
+	Readiness     netip.AddrPort `yaml:"readiness"`
+	ReadinessPath string         `yaml:"readinessPath"`
+	Store         string         `yaml:"store"`
+	// TargetPackets is where a target that ends its flows takes packets, Outbound where it sends them to, and
+	// Announcements where it announces itself.
+	TargetPackets netip.AddrPort `yaml:"targetPackets"`
+	Outbound      netip.AddrPort `yaml:"outbound"`
+	Announcements netip.AddrPort `yaml:"announcements"`
 }
 
 // Validate returns every fault of the settings.
@@ -55,6 +68,11 @@
 	f.Address(s.Packets, "packets")
 	f.Address(s.Control, "control")
 	f.Address(s.Admin, "admin")
+	f.LogFormat(s.Log.Format, "log.format")
+	if s.Form != "" {
+		s.validateForm(&f)
+		return f
+	}
 	f.Address(s.Requests, "requests")
 	f.Address(s.Fabric, "fabric")
 	listened := map[string]netip.AddrPort{"control": s.Control, "admin": s.Admin, "requests": s.Requests}
@@ -78,10 +96,19 @@
 	f.Require(s.Drain.Grace >= 0, "drain.grace", "a duration of 0s or more")
 	f.Require(s.Drain.Limit > s.Drain.Grace, "drain.limit", "a duration above drain.grace")
 	f.Require(s.Drain.Linger >= 0, "drain.linger", "a duration of 0s or more")
-	f.LogFormat(s.Log.Format, "log.format")
 	return f
 }
 
+func (s *Settings) validateForm(f *settings.Faults) {
+	f.Registered(flow.Codecs.Names(), s.Form, "form")
+	f.URL(s.Store, "store")
+	f.Address(s.Readiness, "readiness")
+	f.Require(strings.HasPrefix(s.ReadinessPath, "/"), "readinessPath", "a path")
+	f.Address(s.TargetPackets, "targetPackets")
+	f.Address(s.Outbound, "outbound")
+	f.Address(s.Announcements, "announcements")
+}
+
 func (s *Settings) targetURL() *url.URL {
 	u, err := url.Parse(s.Target)
 	if err != nil {
--- a/agent/main.go
+++ b/agent/main.go
@@ -2,6 +2,9 @@
 package main
 
 import (
+	// The forms of the users' platform register themselves.
+	_ "github.com/coltsfootline/coltsfootline/platform"
+
 	"os"
 
 	"github.com/coltsfootline/coltsfootline/agent/cmd"
--- /dev/null
+++ b/entry/cmd/carrier.go
@@ -0,0 +1,158 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/coltsfootline/coltsfootline/kernel/carrier"
+	"github.com/coltsfootline/coltsfootline/kernel/control"
+	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/flow"
+	"github.com/coltsfootline/coltsfootline/kernel/peer"
+	"github.com/coltsfootline/coltsfootline/kernel/placement"
+	"github.com/coltsfootline/coltsfootline/kernel/plan"
+	"github.com/coltsfootline/coltsfootline/kernel/process"
+	"github.com/coltsfootline/coltsfootline/kernel/store"
+)
+
+// leaveRotation is how long an entry that is not ready any more still gets packets: two misses at two a second, and
+// a margin for flows under way.
+const leaveRotation = 2200 * time.Millisecond
+
+// carrierEntry is an entry before targets that end their flows themselves.
+type carrierEntry struct {
+	settings *Settings
+	process  *process.Process
+	node     *control.Node
+	core     *flow.Entry
+	socket   *net.UDPConn
+	recorder *carrier.Recorder
+	output   flow.Output
+	// directory and plan are handed from the control thread to the traffic thread.
+	directory atomic.Pointer[flow.Directory]
+	plan      atomic.Pointer[plan.Plan]
+	used      usedState
+	leaving   atomic.Bool
+}
+
+// usedState is what the traffic thread took over last.
+type usedState struct {
+	directory *flow.Directory
+	plan      *plan.Plan
+}
+
+func runCarrier(ctx context.Context, s *Settings, logs io.Writer) error {
+	codec, err := flow.Codecs.Get(s.Form)
+	if err != nil {
+		return err
+	}
+	policy, err := placement.FlowPolicies.Get(s.Policy)
+	if err != nil {
+		return err
+	}
+	format, err := plan.Formats.Get(s.Form)
+	if err != nil {
+		return err
+	}
+	client, err := store.NewClient(s.Store, s.Form)
+	if err != nil {
+		return err
+	}
+	client.OnCall = store.Count
+	logger := events.NewLogger(events.NewWriter(logs), s.Log, s.Instance)
+	e := &carrierEntry{
+		settings: s,
+		process: &process.Process{
+			Admin: s.Admin, Pprof: s.Pprof, Logger: logger, Readiness: s.Readiness, ReadinessPath: s.ReadinessPath,
+		},
+		core:     &flow.Entry{Self: s.Packets, DataCentre: s.DataCentre, Codec: codec, Policy: policy},
+		recorder: carrier.NewRecorder(logger, metrics.GetDefaultSet()),
+	}
+	e.node = &control.Node{
+		Self: facts.Member{
+			Instance: s.Instance, Role: facts.RoleEntry, DataCentre: s.DataCentre,
+			Packets: s.Packets, Control: s.Control, State: facts.StateServing,
+		},
+		Seeds: s.Peers, Store: client, Format: format, Logger: logger,
+		OnMembers: e.onMembers, OnPlan: e.onPlan,
+	}
+	return e.process.Run(ctx, e.serve)
+}
+
+func (e *carrierEntry) serve(ctx context.Context) error {
+	lifetime, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	socket, err := carrier.Listen(e.settings.Packets)
+	if err != nil {
+		return err
+	}
+	e.socket = socket
+	if err := e.node.Start(lifetime, map[string]peer.Handler{peer.MethodStatus: peer.Handle(e.status)}); err != nil {
+		return err
+	}
+	loop := &carrier.Loop{Socket: socket, Stepper: e, Logger: e.process.Logger}
+	loop.Start(lifetime)
+	<-ctx.Done()
+	e.leave(lifetime)
+	return nil
+}
+
+// leave serves on until the network has stopped using this entry.
+func (e *carrierEntry) leave(ctx context.Context) {
+	e.leaving.Store(true)
+	e.process.SetReady(false)
+	time.Sleep(leaveRotation)
+	e.node.Spread.Do(ctx, func(now time.Time) { e.node.Spread.SetState(now, facts.StateLeft) })
+	e.node.Register.Remove(ctx, e.settings.Instance)
+}
+
+// Packet decides about one packet; it runs on the traffic thread.
+func (e *carrierEntry) Packet(now time.Time, from netip.AddrPort, packet []byte) {
+	e.takeOver(now)
+	e.output.Clear()
+	e.core.Step(now, from, packet, &e.output)
+	e.recorder.Record(now, &e.output, carrier.Deliver(e.socket, &e.output))
+}
+
+// Tick sweeps the flows; it runs on the traffic thread.
+func (e *carrierEntry) Tick(now time.Time) {
+	e.takeOver(now)
+	e.core.Sweep(now)
+	e.recorder.Tick(now)
+}
+
+func (e *carrierEntry) takeOver(now time.Time) {
+	u := usedState{directory: e.directory.Load(), plan: e.plan.Load()}
+	if u == e.used {
+		return
+	}
+	e.used = u
+	e.core.Use(now, u.plan, u.directory)
+}
+
+func (e *carrierEntry) onMembers(_ time.Time, members []facts.Member) {
+	e.directory.Store(flow.NewDirectory(members))
+	e.updateReady()
+}
+
+func (e *carrierEntry) onPlan(p *plan.Plan) {
+	e.plan.Store(p)
+	e.updateReady()
+}
+
+func (e *carrierEntry) updateReady() {
+	d := e.directory.Load()
+	e.process.SetReady(!e.leaving.Load() && e.plan.Load() != nil && d != nil && d.Placeable() > 0)
+}
+
+func (e *carrierEntry) status(context.Context, peer.StatusRequest) (peer.StatusReply, error) {
+	v := e.node.Spread.View()
+	return peer.StatusReply{Instance: e.settings.Instance, Digest: v.Digest, Members: len(v.Members)}, nil
+}
--- a/entry/cmd/entry.go
+++ b/entry/cmd/entry.go
@@ -15,6 +15,7 @@
 	"github.com/coltsfootline/coltsfootline/kernel/events"
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
 	"github.com/coltsfootline/coltsfootline/kernel/peer"
+	"github.com/coltsfootline/coltsfootline/kernel/placement"
 	"github.com/coltsfootline/coltsfootline/kernel/process"
 	"github.com/coltsfootline/coltsfootline/kernel/services"
 	"github.com/coltsfootline/coltsfootline/kernel/store"
@@ -32,13 +33,17 @@
 		Long: "The entry takes packets from the network fabric (GUE variant 1) and forwards each to the agent\n" +
 			"that owns its connection. It keeps no state per connection: any number of entries may share the\n" +
 			"packets of one connection, and each may be replaced at any time.",
-		NewSettings: func() *Settings { return &Settings{Workers: 1, Table: table.Default} },
+		NewSettings: func() *Settings { return defaults() },
 		Run:         run,
 		Checks:      checks,
 	}
 	return command.Execute(p.Root(), arguments, out, errorOut)
 }
 
+func defaults() *Settings {
+	return &Settings{Workers: 1, Table: table.Default, Policy: placement.DefaultFlowPolicy}
+}
+
 func checks(s *Settings) []command.Check {
 	all := []command.Check{
 		command.CanListenUDP("packets", s.Packets),
@@ -55,6 +60,9 @@
 }
 
 func run(ctx context.Context, s *Settings, logs io.Writer) error {
+	if s.Form != "" {
+		return runCarrier(ctx, s, logs)
+	}
 	builder, err := table.Builders.Get(s.Table)
 	if err != nil {
 		return err
@@ -106,7 +114,11 @@
 	if err := server.Start(lifetime); err != nil {
 		return err
 	}
-	w := &storeWatch{client: &store.Client{Base: e.settings.Store}, name: services.DocumentName, spread: spread, logger: e.process.Logger}
+	client, err := store.NewClient(e.settings.Store, store.DefaultDialect)
+	if err != nil {
+		return err
+	}
+	w := &storeWatch{client: client, name: services.DocumentName, spread: spread, logger: e.process.Logger}
 	go w.run(lifetime)
 	if err := e.forwarder.Start(lifetime); err != nil {
 		return err
--- a/entry/cmd/settings.go
+++ b/entry/cmd/settings.go
@@ -2,10 +2,13 @@
 
 import (
 	"net/netip"
+	"strings"
 
 	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/flow"
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
 	"github.com/coltsfootline/coltsfootline/kernel/peer"
+	"github.com/coltsfootline/coltsfootline/kernel/placement"
 	"github.com/coltsfootline/coltsfootline/kernel/settings"
 )
 
@@ -27,6 +30,13 @@
 	Table         string           `yaml:"table"`
 	Pprof         bool             `yaml:"pprof"`
 	Log           events.Options   `yaml:"log"`
+	// Form is the form of packets, plans and store; empty means GUE with agents that end the flows.
+	Form string `yaml:"form"`
+	// Readiness answers at ReadinessPath whether the entry is ready, besides admin.
+	Readiness     netip.AddrPort `yaml:"readiness"`
+	ReadinessPath string         `yaml:"readinessPath"`
+	// Policy chooses the host of a new flow, where targets end the flows.
+	Policy string `yaml:"policy"`
 }
 
 // Validate returns every fault of the settings.
@@ -38,15 +48,24 @@
 	f.Address(s.Control, "control")
 	f.Address(s.Admin, "admin")
 	f.Distinct(map[string]netip.AddrPort{"control": s.Control, "admin": s.Admin}, "control", "admin")
-	f.Peers(s.Peers, s.Control, "peers")
+	if s.Form == "" {
+		f.Peers(s.Peers, s.Control, "peers")
+	}
 	for i, r := range s.ControlRoutes {
 		f.Address(r.To, settings.Element("controlRoutes", i)+".to")
 		f.Address(r.Via, settings.Element("controlRoutes", i)+".via")
 	}
 	f.URL(s.Store, "store")
+	f.LogFormat(s.Log.Format, "log.format")
+	if s.Form != "" {
+		f.Address(s.Readiness, "readiness")
+		f.Require(strings.HasPrefix(s.ReadinessPath, "/"), "readinessPath", "a path")
+		f.Registered(flow.Codecs.Names(), s.Form, "form")
+		f.Registered(placement.FlowPolicies.Names(), s.Policy, "policy")
+		return f
+	}
 	f.Require(s.HashKey != gue.Key{}, "hashKey", "32 hexadecimal digits, not all zero")
 	f.Require(s.PacketKey != gue.Key{}, "packetKey", "32 hexadecimal digits, not all zero")
 	f.Between(s.Workers, 1, maxWorkers, "workers")
-	f.LogFormat(s.Log.Format, "log.format")
 	return f
 }
--- /dev/null
+++ b/kernel/carrier/loop.go
@@ -0,0 +1,90 @@
+// Package carrier moves packets between sockets and the decisions of package flow.
+package carrier
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/flow"
+	"github.com/coltsfootline/coltsfootline/kernel/process"
+)
+
+const (
+	// TickPeriod is the time between two sweeps of the flows.
+	TickPeriod = 200 * time.Millisecond
+	// bufferBytes holds the longest packet of any form.
+	bufferBytes = 2048
+	// socketBufferBytes is asked of the kernel: half a second of a core's packets.
+	socketBufferBytes = 1 << 20
+)
+
+// Stepper decides about what a loop reads. Its methods are called by the loop alone.
+type Stepper interface {
+	Packet(now time.Time, from netip.AddrPort, packet []byte)
+	Tick(now time.Time)
+}
+
+// Loop reads packets from a socket, one after the other.
+type Loop struct {
+	Socket  *net.UDPConn
+	Stepper Stepper
+	Logger  *slog.Logger
+}
+
+// Listen opens a UDP socket.
+func Listen(a netip.AddrPort) (*net.UDPConn, error) {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, errors.WithStack(&process.ListenError{Address: a.String(), Cause: err})
+	}
+	_ = c.SetReadBuffer(socketBufferBytes)
+	_ = c.SetWriteBuffer(socketBufferBytes)
+	return c, nil
+}
+
+// Start reads until ctx ends.
+func (l *Loop) Start(ctx context.Context) {
+	context.AfterFunc(ctx, func() { _ = l.Socket.Close() })
+	go l.run(ctx)
+}
+
+func (l *Loop) run(ctx context.Context) {
+	buffer := make([]byte, bufferBytes)
+	next := time.Now()
+	for {
+		now := time.Now()
+		if !now.Before(next) {
+			l.Stepper.Tick(now)
+			next = now.Add(TickPeriod)
+			_ = l.Socket.SetReadDeadline(next)
+		}
+		n, from, err := l.Socket.ReadFromUDPAddrPort(buffer)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, os.ErrDeadlineExceeded):
+		case err != nil:
+			events.PacketReadFailed.Log(l.Logger, events.Failure(err))
+		default:
+			l.Stepper.Packet(time.Now(), netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n])
+		}
+	}
+}
+
+// Deliver sends what a step decided and returns how many packets a socket did not take.
+func Deliver(socket *net.UDPConn, out *flow.Output) int {
+	failed := 0
+	for _, s := range out.Sends {
+		if _, err := socket.WriteToUDPAddrPort(s.Packet, s.To); err != nil {
+			failed++
+		}
+	}
+	return failed
+}
--- /dev/null
+++ b/kernel/carrier/recorder.go
@@ -0,0 +1,107 @@
+package carrier
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/flow"
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
+)
+
+// Recorder logs and counts decisions. Use it from one goroutine at a time.
+type Recorder struct {
+	Logger *slog.Logger
+
+	limiter   events.Limiter
+	decisions map[decisionKey]*metrics.Counter
+	sent      *metrics.Counter
+	unsent    *metrics.Counter
+	dropped   map[gue.Reason]*metrics.Counter
+}
+
+type decisionKey struct {
+	action flow.Action
+	reason string
+}
+
+// NewRecorder registers its counters in a set.
+func NewRecorder(l *slog.Logger, s *metrics.Set) *Recorder {
+	r := &Recorder{
+		Logger:    l,
+		decisions: map[decisionKey]*metrics.Counter{},
+		sent:      s.GetOrCreateCounter("coltsfootline_flow_packets_sent_total"),
+		unsent:    s.GetOrCreateCounter("coltsfootline_flow_packets_unsent_total"),
+		dropped:   map[gue.Reason]*metrics.Counter{},
+	}
+	for _, reason := range gue.Reasons() {
+		r.dropped[reason] = s.GetOrCreateCounter(`coltsfootline_flow_packets_dropped_total{reason="` + reason.String() + `"}`)
+	}
+	return r
+}
+
+// Record notes an output whose sending failed for some packets.
+func (r *Recorder) Record(now time.Time, out *flow.Output, failed int) {
+	r.sent.Add(len(out.Sends) - failed)
+	if failed > 0 {
+		r.unsent.Add(failed)
+	}
+	if out.Dropped != gue.ReasonNone {
+		r.dropped[out.Dropped].Inc()
+	}
+	for _, d := range out.Decisions {
+		r.count(d)
+		e := eventOf(d.Action)
+		if !r.limiter.Allow(now, e) {
+			continue
+		}
+		e.Log(r.Logger,
+			slog.String("flow", d.Flow.String()), slog.String("to", d.Instance), slog.String("reason", d.Reason),
+			slog.Uint64("planVersion", d.PlanVersion), slog.Int("count", d.Count), slog.Int64("ageMs", d.AgeMs))
+	}
+}
+
+// Tick logs how many records were left out since the last call.
+func (r *Recorder) Tick(now time.Time) {
+	for _, s := range r.limiter.Suppressed(now) {
+		events.RecordsLeftOut.Log(r.Logger, slog.String("of", s.Event.Name), slog.Int("count", s.Count))
+	}
+}
+
+func (r *Recorder) count(d flow.Decision) {
+	k := decisionKey{action: d.Action, reason: d.Reason}
+	c := r.decisions[k]
+	if c == nil {
+		c = metrics.GetOrCreateCounter(`coltsfootline_flow_decisions_total{action="` + eventOf(d.Action).Name + `",reason="` + d.Reason + `"}`)
+		r.decisions[k] = c
+	}
+	c.Inc()
+}
+
+func eventOf(a flow.Action) events.Event {
+	switch a {
+	case flow.ActionPlaced:
+		return events.FlowPlaced
+	case flow.ActionPlacedAgain:
+		return events.FlowPlacedAgain
+	case flow.ActionUnplaced:
+		return events.FlowUnplaced
+	case flow.ActionSearch:
+		return events.FlowSearched
+	case flow.ActionFound:
+		return events.FlowFound
+	case flow.ActionReset:
+		return events.FlowReset
+	case flow.ActionUncertain:
+		return events.FlowUncertain
+	case flow.ActionRefused:
+		return events.FlowRefused
+	case flow.ActionBounced:
+		return events.FlowBounced
+	case flow.ActionProbed:
+		return events.FlowsProbed
+	}
+	return events.FlowDropped
+}
--- a/kernel/command/runCmd.go
+++ b/kernel/command/runCmd.go
@@ -42,7 +42,7 @@
 	if err := settings.Load(c.file, s); err != nil {
 		return err
 	}
-	return c.program.Run(cmd.Context(), s, cmd.ErrOrStderr())
+	return c.program.Run(cmd.Context(), s, cmd.OutOrStdout())
 }
 
 func addSettingsFlag(cmd *cobra.Command, file *string) {
--- /dev/null
+++ b/kernel/control/register.go
@@ -0,0 +1,195 @@
+// Package control joins an instance to the others: its entry in the store, the members found there, and the plan.
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/peer"
+	"github.com/coltsfootline/coltsfootline/kernel/store"
+)
+
+// KindInstances is the store's kind of the objects that hold one member fact each.
+const KindInstances = "instances"
+
+const (
+	// retryLeast and retryGreatest bound the pause after a failed call. The greatest keeps entries of living
+	// instances back within 2 s of the store's return.
+	retryLeast    = 100 * time.Millisecond
+	retryGreatest = 1200 * time.Millisecond
+	// changeDelay gathers changes that follow each other into one write.
+	changeDelay = 20 * time.Millisecond
+)
+
+// Register keeps this instance's fact in the store and reads the others' once.
+type Register struct {
+	Store  *store.Client
+	Spread *peer.Spread
+	Logger *slog.Logger
+	// OnOwn takes what the store holds of this instance from before its start; it may be nil.
+	OnOwn func(m facts.Member)
+
+	changed chan struct{}
+	listed  chan struct{}
+	link    dependency
+}
+
+// Start writes the fact and reads the members until ctx ends.
+func (r *Register) Start(ctx context.Context) {
+	r.changed = make(chan struct{}, 1)
+	r.listed = make(chan struct{})
+	r.link = dependency{name: "storeMembers", logger: r.Logger}
+	r.Changed()
+	go r.run(ctx)
+}
+
+// Changed says that this instance's fact has to be written again. It does not block.
+func (r *Register) Changed() {
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Listed is closed when the members were read from the store.
+func (r *Register) Listed() <-chan struct{} {
+	return r.listed
+}
+
+func (r *Register) run(ctx context.Context) {
+	p := pauser{}
+	for !r.list(ctx) {
+		if !p.pause(ctx) {
+			return
+		}
+	}
+	close(r.listed)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.changed:
+		}
+		wait(ctx, changeDelay)
+		p := pauser{}
+		for !r.write(ctx) {
+			if !p.pause(ctx) {
+				return
+			}
+		}
+	}
+}
+
+func (r *Register) list(ctx context.Context) bool {
+	page, err := r.Store.List(ctx, KindInstances)
+	r.link.saw(err)
+	if err != nil {
+		return false
+	}
+	var all []facts.Fact
+	for _, o := range page.Objects {
+		f, ok := factOf(o)
+		if !ok {
+			events.FactRefused.Log(r.Logger, slog.String("object", o.Name), slog.Uint64("revision", o.Revision))
+			continue
+		}
+		all = append(all, f)
+		r.restoreOwn(f)
+	}
+	events.MembersRead.Log(r.Logger, slog.Int("members", len(all)), slog.Uint64("revision", page.Revision))
+	return r.Spread.Do(ctx, func(now time.Time) { r.Spread.Restore(now, all) })
+}
+
+func (r *Register) restoreOwn(f facts.Fact) {
+	if f.Name != r.Spread.Self.Instance || r.OnOwn == nil {
+		return
+	}
+	if m, err := facts.MemberOf(f); err == nil {
+		r.OnOwn(m)
+	}
+}
+
+// factOf reads a member fact; objects of other writers may hold anything.
+func factOf(o store.Object) (facts.Fact, bool) {
+	var f facts.Fact
+	if err := json.Unmarshal(o.Spec, &f); err != nil || f.Kind != facts.KindMember || f.Name != o.Name {
+		return facts.Fact{}, false
+	}
+	m, err := facts.MemberOf(f)
+	return f, err == nil && m.Instance == f.Name && m.Packets.IsValid() && m.Control.IsValid()
+}
+
+func (r *Register) write(ctx context.Context) bool {
+	var f facts.Fact
+	var ok bool
+	if !r.Spread.Do(ctx, func(time.Time) { f, ok = r.Spread.Own() }) || !ok {
+		return ctx.Err() != nil
+	}
+	spec, err := json.Marshal(f)
+	if err != nil {
+		events.FactRefused.Log(r.Logger, events.Failure(err))
+		return true
+	}
+	_, err = r.Store.Put(ctx, KindInstances, f.Name, spec)
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
+		return false
+	}
+	r.link.saw(err)
+	return err == nil
+}
+
+// Remove deletes this instance's entry.
+func (r *Register) Remove(ctx context.Context, instance string) {
+	if err := r.Store.Delete(ctx, KindInstances, instance, 0); err != nil {
+		events.StoreUnavailable.Log(r.Logger, events.Failure(err))
+	}
+}
+
+// pauser waits longer after each failure. Its zero value is ready to use.
+type pauser struct {
+	next time.Duration
+}
+
+// pause reports false when ctx ended.
+func (p *pauser) pause(ctx context.Context) bool {
+	p.next = min(max(2*p.next, retryLeast), retryGreatest)
+	return wait(ctx, p.next/2+rand.N(p.next/2))
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// dependency logs when something that this process needs is lost and regained.
+type dependency struct {
+	name   string
+	logger *slog.Logger
+	lost   time.Time
+}
+
+func (d *dependency) saw(err error) {
+	now := time.Now()
+	switch {
+	case err != nil && d.lost.IsZero():
+		d.lost = now
+		events.DependencyLost.Log(d.logger, slog.String("dependency", d.name), events.Failure(err))
+	case err == nil && !d.lost.IsZero():
+		events.DependencyRegained.Log(d.logger, slog.String("dependency", d.name), slog.Int64("ageMs", now.Sub(d.lost).Milliseconds()))
+		d.lost = time.Time{}
+	}
+}
--- a/kernel/facts/member.go
+++ b/kernel/facts/member.go
@@ -36,6 +36,8 @@
 	// Requests is where an agent takes requests that others hand over.
 	Requests netip.AddrPort `json:"requests"`
 	State    State          `json:"state"`
+	// Target is known where the agent carries flows for a target that ends them itself.
+	Target *Target `json:"target,omitempty"`
 }
 
 // Fact wraps the member with its versions.
--- /dev/null
+++ b/kernel/flow/agent.go
@@ -0,0 +1,350 @@
+package flow
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
+	"github.com/coltsfootline/coltsfootline/kernel/plan"
+)
+
+const (
+	// maxTargetFlows bounds the flows that an agent follows: a target holds 2,000, and the rest have just ended.
+	maxTargetFlows = 8192
+	// trustWithoutBeat is how long the store's word about a target stands in for the target's own, after a start.
+	trustWithoutBeat = 1500 * time.Millisecond
+	// probeMark is the mark value of packets given to the target to learn whether it holds a flow.
+	probeMark = ^uint32(0)
+	// finishedTimeout is how long a flow is remembered that ended at the target.
+	finishedTimeout = 3 * time.Second
+)
+
+// Agent decides about the packets of one target. Set the exported fields, then call its steps one at a time.
+type Agent struct {
+	Self    netip.AddrPort
+	Service string
+	// Target is where the target takes packets.
+	Target netip.AddrPort
+	Codec  Codec
+
+	plan *plan.Plan
+	// target is the latest word about the target; heard is when the target itself gave it.
+	target  *facts.Target
+	heard   time.Time
+	started time.Time
+	leaving bool
+	flows   *simplelru.LRU[gue.Flow, *agentFlow]
+	busy    int
+	// serviceTime averages the time from a request to the first octet of its answer.
+	serviceTime time.Duration
+}
+
+// agentFlow is what an agent saw of a flow.
+type agentFlow struct {
+	state agentState
+	// accepted is the sequence number of the target's SYN+ACK, if one was seen.
+	accepted    uint32
+	hasAccepted bool
+	busy        bool
+	since       time.Time
+	last        time.Time
+	acked       uint32
+	// asker is the entry that wants to know whether the target holds the flow.
+	asker netip.Addr
+	// probe is the caller's last packet without data; given to the target again it tells whether the flow is held.
+	probe []byte
+}
+
+type agentState uint8
+
+const (
+	stateUnknown agentState = iota
+	stateOpening
+	stateOpen
+	stateClosed
+)
+
+// UsePlan takes a plan unless it is older than the one in use.
+func (a *Agent) UsePlan(p *plan.Plan) {
+	if a.plan == nil || p.Version >= a.plan.Version {
+		a.plan = p
+	}
+}
+
+// UseTarget takes word of the target; heard says that the target itself gave it.
+func (a *Agent) UseTarget(now time.Time, t facts.Target, heard bool, out *Output) {
+	a.prepare(now)
+	reborn := a.target != nil && !a.target.SameIncarnation(t)
+	a.target = &t
+	if heard {
+		a.heard = now
+	}
+	if reborn {
+		a.probeAll(now, out)
+	}
+}
+
+// Leave stops taking new flows.
+func (a *Agent) Leave() {
+	a.leaving = true
+}
+
+// Busy is the number of requests that the target works on.
+func (a *Agent) Busy() int {
+	return a.busy
+}
+
+// Flows is the number of flows followed.
+func (a *Agent) Flows() int {
+	if a.flows == nil {
+		return 0
+	}
+	return a.flows.Len()
+}
+
+func (a *Agent) prepare(now time.Time) {
+	if a.flows == nil {
+		a.started = now
+		a.flows, _ = simplelru.NewLRU[gue.Flow, *agentFlow](maxTargetFlows, a.forget)
+	}
+}
+
+// FromEntry decides about a packet that an entry sent.
+func (a *Agent) FromEntry(now time.Time, from netip.AddrPort, packet []byte, out *Output) {
+	a.prepare(now)
+	v, reason := a.Codec.Parse(packet)
+	if reason != gue.ReasonNone {
+		out.Dropped = reason
+		return
+	}
+	if v.Accepting || v.Bounced {
+		out.Dropped = gue.ReasonTag
+		return
+	}
+	f := v.FromCaller()
+	if v.Opening {
+		a.open(now, from, f, packet, &v, out)
+		return
+	}
+	a.carry(now, from, f, packet, &v, out)
+}
+
+// open is the last gate before the target: it gives a new flow back unless the target may take it.
+func (a *Agent) open(now time.Time, from netip.AddrPort, f gue.Flow, packet []byte, v *View, out *Output) {
+	k, known := a.flows.Get(f)
+	if known && k.state != stateClosed {
+		k.last = now
+		a.deliver(from.Addr(), packet, out)
+		return
+	}
+	if code, why := a.gate(now, f, v); code != CodeNone {
+		a.Codec.SetMark(packet, Mark{Code: code})
+		out.send(from, packet)
+		out.decide(Decision{Action: ActionRefused, Flow: f, Reason: why, PlanVersion: a.planVersion(), Count: a.busy})
+		return
+	}
+	k = &agentFlow{state: stateOpening, since: now, last: now}
+	a.flows.Add(f, k)
+	a.setBusy(k, true, now)
+	a.deliver(from.Addr(), packet, out)
+}
+
+// gate says why a new flow may not go to the target, or CodeNone.
+func (a *Agent) gate(now time.Time, f gue.Flow, v *View) (Code, string) {
+	switch {
+	case a.target == nil:
+		return CodeRefused, "noTarget"
+	case a.leaving:
+		return CodeRefused, "leaving"
+	case a.target.State != facts.TargetReady:
+		return CodeRefused, "draining"
+	case a.heard.IsZero() && now.Sub(a.started) > trustWithoutBeat:
+		return CodeRefused, "targetSilent"
+	}
+	// An entry with a newer plan knows better than this agent; the marks carry the low 32 bits.
+	if a.plan != nil && int32(v.Mark.Value-uint32(a.plan.Version)) <= 0 {
+		if r := a.plan.Find(f.Service); r == nil || !r.Leads(a.Service) {
+			return CodeRefused, "noRoute"
+		}
+	}
+	if v.Mark.Code != CodeForce && a.busy >= max(a.target.Slots, 1) {
+		return CodeBusy, "busy"
+	}
+	return CodeNone, ""
+}
+
+// carry delivers a packet of an open flow. The target is asked about flows that this agent does not know: it bounces
+// a packet of a flow that it does not hold.
+func (a *Agent) carry(now time.Time, from netip.AddrPort, f gue.Flow, packet []byte, v *View, out *Output) {
+	k, known := a.flows.Get(f)
+	if known && k.state == stateOpening && k.hasAccepted && v.Acknowledged-k.accepted > 1 {
+		a.giveBack(from, packet, out)
+		return
+	}
+	if !known {
+		k = &agentFlow{since: now, asker: from.Addr()}
+		a.flows.Add(f, k)
+	}
+	k.last = now
+	k.acked = v.Acknowledged
+	a.observe(now, k, packet, v)
+	if v.Mark.Code == CodeLocate && known && (k.state == stateOpen || k.state == stateOpening) {
+		a.tell(from, packet, out)
+	}
+	a.deliver(from.Addr(), packet, out)
+}
+
+func (a *Agent) observe(now time.Time, k *agentFlow, packet []byte, v *View) {
+	if k.state == stateOpening && k.hasAccepted {
+		k.state = stateOpen
+	}
+	switch {
+	case v.Reset:
+		a.setBusy(k, false, now)
+		k.state = stateClosed
+	case v.Finish:
+	case v.Length > 0:
+		a.setBusy(k, true, now)
+	default:
+		k.probe = append(k.probe[:0], packet...)
+	}
+}
+
+// FromTarget decides about a packet that the target sent.
+func (a *Agent) FromTarget(now time.Time, packet []byte, out *Output) {
+	a.prepare(now)
+	v, reason := a.Codec.Parse(packet)
+	switch {
+	case reason != gue.ReasonNone:
+		out.Dropped = reason
+	case v.Bounced:
+		a.bounced(now, packet, &v, out)
+	default:
+		a.reply(now, packet, &v, out)
+	}
+}
+
+// bounced gives a packet back to its entry that the target did not take.
+func (a *Agent) bounced(now time.Time, packet []byte, v *View, out *Output) {
+	f := v.FromCaller()
+	value := v.Mark.Value
+	if value == probeMark {
+		a.resetFlow(now, f, out)
+		return
+	}
+	k, known := a.flows.Get(f)
+	if known && (v.Opening && k.state == stateOpening || !v.Opening && k.state != stateOpening) {
+		a.flows.Remove(f)
+	}
+	if value == 0 {
+		out.Dropped = gue.ReasonUnknownAddress
+		return
+	}
+	code := CodeNotHere
+	if v.Opening {
+		code = CodeFull
+	}
+	a.Codec.SetMark(packet, Mark{Code: code})
+	out.send(a.entry(value), packet)
+	out.decide(Decision{Action: ActionBounced, Flow: f, Reason: code.String(), PlanVersion: a.planVersion(), Count: a.busy})
+}
+
+// reply sends a target's packet to the caller.
+func (a *Agent) reply(now time.Time, packet []byte, v *View, out *Output) {
+	f := v.FromTarget()
+	k, known := a.flows.Get(f)
+	if !known {
+		k = &agentFlow{state: stateUnknown, since: now}
+		a.flows.Add(f, k)
+	}
+	k.last = now
+	switch {
+	case v.Accepting:
+		k.accepted, k.hasAccepted = v.Sequence, true
+	case v.Reset:
+		a.setBusy(k, false, now)
+		k.state = stateClosed
+	case v.Length > 0 || v.Finish:
+		a.setBusy(k, false, now)
+	}
+	if !v.Accepting && !v.Reset && k.state == stateUnknown {
+		k.state = stateOpen
+	}
+	if k.asker.IsValid() && k.state == stateOpen {
+		a.tellOf(f, k, out)
+	}
+	if v.Finish {
+		k.state = stateClosed
+	}
+	a.Codec.SetMark(packet, Mark{})
+	out.send(callerAddress(f, a.Self), packet)
+}
+
+// tell answers an entry that the target holds the packet's flow.
+func (a *Agent) tell(to netip.AddrPort, packet []byte, out *Output) {
+	answer := append([]byte(nil), packet[:a.Codec.HeaderLength()]...)
+	a.Codec.SetMark(answer, Mark{Code: CodeHere})
+	out.send(to, answer)
+}
+
+func (a *Agent) tellOf(f gue.Flow, k *agentFlow, out *Output) {
+	answer := a.Codec.PutReset(make([]byte, a.Codec.HeaderLength()), gue.Flow{Caller: f.Service, Service: f.Caller}, 0)
+	a.Codec.SetMark(answer, Mark{Code: CodeHere})
+	out.send(netip.AddrPortFrom(k.asker, a.Self.Port()), answer)
+	k.asker = netip.Addr{}
+}
+
+func (a *Agent) giveBack(to netip.AddrPort, packet []byte, out *Output) {
+	a.Codec.SetMark(packet, Mark{Code: CodeNotHere})
+	out.send(to, packet)
+}
+
+// deliver gives a packet to the target; the mark tells where it came from if the target bounces it.
+func (a *Agent) deliver(entry netip.Addr, packet []byte, out *Output) {
+	b := entry.Unmap().As4()
+	a.Codec.SetMark(packet, Mark{Value: binary.BigEndian.Uint32(b[:])})
+	out.send(a.Target, packet)
+}
+
+func (a *Agent) entry(value uint32) netip.AddrPort {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], value)
+	return netip.AddrPortFrom(netip.AddrFrom4(b), a.Self.Port())
+}
+
+func (a *Agent) planVersion() uint64 {
+	if a.plan == nil {
+		return 0
+	}
+	return a.plan.Version
+}
+
+func (a *Agent) setBusy(k *agentFlow, busy bool, now time.Time) {
+	if k.busy == busy {
+		return
+	}
+	k.busy = busy
+	if busy {
+		a.busy++
+		k.since = now
+		return
+	}
+	a.busy--
+	a.serviceTime += time.Duration(serviceTimeWeight * float64(now.Sub(k.since)-a.serviceTime))
+}
+
+func (a *Agent) forget(_ gue.Flow, k *agentFlow) {
+	if k.busy {
+		k.busy = false
+		a.busy--
+	}
+}
+
+// callerAddress is where packets for a flow's caller go: its address, at the port that all instances take packets at.
+func callerAddress(f gue.Flow, self netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4(f.Caller.Address), self.Port())
+}
--- a/kernel/peer/link.go
+++ b/kernel/peer/link.go
@@ -90,6 +90,9 @@
 	if err := l.owner.Pool.Call(ctx, l.to, MethodExchange, request, &reply); err != nil {
 		return
 	}
+	if l.owner.Plan != nil {
+		l.owner.Do(ctx, func(time.Time) { l.owner.Plan.Heard(reply.PlanVersion, l.to) })
+	}
 	if reply.Digest == request.Digest {
 		return
 	}
--- a/kernel/peer/spread.go
+++ b/kernel/peer/spread.go
@@ -31,12 +31,15 @@
 	Instance string           `json:"instance"`
 	Digest   uint64           `json:"digest"`
 	HeardMs  map[string]int64 `json:"heardMs,omitempty"`
+	// PlanVersion is the plan that the sender uses.
+	PlanVersion uint64 `json:"planVersion,omitempty"`
 }
 
 // ExchangeReply carries the responder's facts when the digests differ.
 type ExchangeReply struct {
-	Digest uint64       `json:"digest"`
-	Facts  []facts.Fact `json:"facts,omitempty"`
+	Digest      uint64       `json:"digest"`
+	Facts       []facts.Fact `json:"facts,omitempty"`
+	PlanVersion uint64       `json:"planVersion,omitempty"`
 }
 
 // SpreadRequest carries facts that the sender accepted.
@@ -47,6 +50,12 @@
 // SpreadReply acknowledges a SpreadRequest.
 type SpreadReply struct{}
 
+// PlanVersions compares the versions of plans. Its methods are called on the control thread and must not block.
+type PlanVersions interface {
+	Version() uint64
+	Heard(version uint64, from netip.AddrPort)
+}
+
 // View is an immutable picture of the facts.
 type View struct {
 	Digest   uint64
@@ -66,6 +75,10 @@
 	OnChange func(now time.Time, v *View)
 	// Detect switches on marking silent members down.
 	Detect bool
+	// Period is the time between two exchanges with a peer; 0 means exchangePeriod.
+	Period time.Duration
+	// Plan tells the version of the plan in use, and hears that a peer uses another. It may be nil.
+	Plan PlanVersions
 
 	set      facts.Set
 	version  uint64
@@ -122,6 +135,28 @@
 	s.announce(now)
 }
 
+// SetTarget publishes what this instance knows of its target. Call it on the control thread.
+func (s *Spread) SetTarget(now time.Time, t facts.Target) {
+	s.Self.Target = &t
+	s.announce(now)
+}
+
+// Own returns the latest fact about this instance. Call it on the control thread.
+func (s *Spread) Own() (facts.Fact, bool) {
+	return s.set.Get(facts.Key{Kind: facts.KindMember, Name: s.Self.Instance})
+}
+
+// Restore merges facts that were kept elsewhere. Members among them count as heard at now, so that those which
+// are gone fall silent. Call it on the control thread.
+func (s *Spread) Restore(now time.Time, all []facts.Fact) {
+	for _, f := range all {
+		if f.Kind == facts.KindMember && f.Name != s.Self.Instance && !s.detector.Hears(f.Name) {
+			s.detector.Heard(f.Name, now)
+		}
+	}
+	s.Accept(now, all)
+}
+
 // Accept merges facts and passes on those that were new. Call it on the control thread.
 func (s *Spread) Accept(now time.Time, all []facts.Fact) {
 	kept := s.set.MergeAll(all)
@@ -134,7 +169,11 @@
 }
 
 func (s *Spread) loop(ctx context.Context) {
-	ticker := time.NewTicker(exchangePeriod)
+	period := s.Period
+	if period == 0 {
+		period = exchangePeriod
+	}
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	s.announce(time.Now())
 	for {
@@ -160,6 +199,9 @@
 
 func (s *Spread) request(now time.Time) ExchangeRequest {
 	r := ExchangeRequest{Instance: s.Self.Instance, Digest: s.set.Digest()}
+	if s.Plan != nil {
+		r.PlanVersion = s.Plan.Version()
+	}
 	if s.Detect {
 		r.HeardMs = s.detector.Ages(now)
 	}
@@ -189,7 +231,11 @@
 		if f.Kind != facts.KindMember || f.Name != s.Self.Instance {
 			continue
 		}
-		if f.Incarnation == s.Incarnation && f.Version > s.version {
+		if f.Incarnation > s.Incarnation || f.Incarnation == s.Incarnation && f.Version > s.version {
+			// A greater incarnation is that of an earlier process whose clock was ahead.
+			if f.Incarnation > s.Incarnation {
+				s.Incarnation = f.Incarnation + 1
+			}
 			s.version = f.Version
 			events.SelfRefuted.Log(s.Logger)
 			s.announce(now)
@@ -273,6 +319,10 @@
 		s.detector.Heard(r.Instance, now)
 		s.detector.HeardByOther(r.HeardMs, now)
 		s.openLink(ctx, r.Instance)
+		if s.Plan != nil {
+			reply.PlanVersion = s.Plan.Version()
+			s.hearPlan(r.Instance, r.PlanVersion)
+		}
 		reply.Digest = s.set.Digest()
 		if reply.Digest != r.Digest {
 			reply.Facts = s.set.All()
@@ -284,6 +334,15 @@
 	return reply, nil
 }
 
+func (s *Spread) hearPlan(instance string, version uint64) {
+	for _, m := range s.view.Load().Members {
+		if m.Instance == instance {
+			s.Plan.Heard(version, m.Control)
+			return
+		}
+	}
+}
+
 // openLink makes facts flow back to an agent that exchanges with this entry.
 func (s *Spread) openLink(ctx context.Context, instance string) {
 	for _, m := range s.view.Load().Members {
--- a/kernel/process/process.go
+++ b/kernel/process/process.go
@@ -32,6 +32,11 @@
 	Admin  netip.AddrPort
 	Pprof  bool
 	Logger *slog.Logger
+	// Readiness is a further address that answers whether the program is ready, at ReadinessPath; it may be absent.
+	Readiness     netip.AddrPort
+	ReadinessPath string
+	// Reload runs on SIGHUP; nil ignores the signal.
+	Reload func()
 
 	ready atomic.Bool
 }
@@ -54,7 +59,9 @@
 
 // SetReady switches what /readyz answers.
 func (p *Process) SetReady(ready bool) {
-	p.ready.Store(ready)
+	if p.ready.Swap(ready) != ready {
+		events.ReadyChanged.Log(p.Logger, slog.Bool("ready", ready))
+	}
 }
 
 // Run serves the administration page and calls body with a context that SIGTERM or SIGINT cancels.
@@ -67,11 +74,18 @@
 	a := &adminServer{server: &http.Server{Handler: p.handler()}, listener: listener, logger: p.Logger}
 	go a.run()
 	defer func() { _ = a.server.Close() }()
+	if p.Readiness.IsValid() {
+		closeReadiness, err := p.serveReadiness()
+		if err != nil {
+			return err
+		}
+		defer closeReadiness()
+	}
 
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := &signalWatch{cancel: cancel, logger: p.Logger, signals: make(chan os.Signal, 2)}
-	signal.Notify(w.signals, syscall.SIGTERM, syscall.SIGINT)
+	w := &signalWatch{cancel: cancel, logger: p.Logger, signals: make(chan os.Signal, 2), reload: p.Reload}
+	signal.Notify(w.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(w.signals)
 	go w.run()
 
@@ -85,11 +99,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) })
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !p.ready.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
+	mux.HandleFunc("GET /readyz", p.answerReady)
 	if p.Pprof {
 		mux.HandleFunc("/debug/pprof/", pprof.Index)
 		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
@@ -98,6 +108,24 @@
 	return mux
 }
 
+func (p *Process) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !p.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (p *Process) serveReadiness() (func(), error) {
+	l, err := net.Listen("tcp4", p.Readiness.String())
+	if err != nil {
+		return nil, errors.WithStack(&ListenError{Address: p.Readiness.String(), Cause: err})
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+p.ReadinessPath, p.answerReady)
+	a := &adminServer{server: &http.Server{Handler: mux}, listener: l, logger: p.Logger}
+	go a.run()
+	return func() { _ = a.server.Close() }, nil
+}
+
 type adminServer struct {
 	server   *http.Server
 	listener net.Listener
@@ -115,13 +143,25 @@
 	cancel  context.CancelFunc
 	logger  *slog.Logger
 	signals chan os.Signal
+	reload  func()
 }
 
 func (w *signalWatch) run() {
-	<-w.signals
+	w.awaitStop()
 	events.Stopping.Log(w.logger)
 	w.cancel()
-	<-w.signals
+	w.awaitStop()
 	events.StopForced.Log(w.logger)
 	os.Exit(ExitForced)
 }
+
+func (w *signalWatch) awaitStop() {
+	for s := range w.signals {
+		if s != syscall.SIGHUP {
+			return
+		}
+		if w.reload != nil {
+			w.reload()
+		}
+	}
+}
--- a/kernel/services/service.go
+++ b/kernel/services/service.go
@@ -11,6 +11,9 @@
 // DocumentName is the store object, and the document fact, that lists the services.
 const DocumentName = "services"
 
+// DocumentKind is the store's kind of documents.
+const DocumentKind = "documents"
+
 // Service is one address that callers connect to.
 type Service struct {
 	Name       string         `json:"name"`
--- a/kernel/settings/values.go
+++ b/kernel/settings/values.go
@@ -3,7 +3,9 @@
 import (
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 )
 
 // Faults collects what a Validate method finds. The zero value is empty.
@@ -67,3 +69,8 @@
 func (f *Faults) LogFormat(text, key string) {
 	f.Require(text == "" || text == "json" || text == "text", key, `"json" or "text"`)
 }
+
+// Registered requires one of the registered names.
+func (f *Faults) Registered(names []string, name, key string) {
+	f.Require(slices.Contains(names, name), key, "one of "+strings.Join(names, ", "))
+}
--- a/rig/cluster/cluster.go
+++ b/rig/cluster/cluster.go
@@ -141,8 +141,11 @@
 	if err != nil {
 		return err
 	}
-	client := store.Client{Base: c.StoreURL()}
-	_, err = client.Put(ctx, services.DocumentName, 0, value)
+	client, err := store.NewClient(c.StoreURL(), store.DefaultDialect)
+	if err != nil {
+		return err
+	}
+	_, err = client.Put(ctx, services.DocumentKind, services.DocumentName, value)
 	return err
 }
 
--- a/rig/store/store.go
+++ b/rig/store/store.go
@@ -2,117 +2,186 @@
 package store
 
 import (
-	"encoding/json"
-	"io"
 	"net/http"
-	"strconv"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/coltsfootline/coltsfootline/kernel/store"
+	"github.com/coltsfootline/coltsfootline/platform"
 )
 
 const (
-	watchWait    = 30 * time.Second
 	maxBodyBytes = 1 << 20
+	// pageLength is how many objects a listing returns at once.
+	pageLength = 500
 )
 
 // Server holds objects in memory. Its zero value is empty and ready to use.
 type Server struct {
-	mutex   sync.Mutex
-	objects map[string]store.Object
-	version uint64
-	changed chan struct{}
+	mutex    sync.Mutex
+	objects  map[key]store.Object
+	history  []store.Object
+	forgot   uint64
+	revision uint64
+	changed  chan struct{}
+	dialect  platform.Objects
 }
 
-// Handler serves GET and PUT of /objects/{name}.
+type key struct {
+	kind string
+	name string
+}
+
+// Handler serves the calls of the store.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /objects/{name}", s.get)
-	mux.HandleFunc("PUT /objects/{name}", s.put)
+	for _, r := range s.dialect.Routes() {
+		mux.HandleFunc(r, s.serve)
+	}
 	return mux
 }
 
-func (s *Server) lookUp(name string) (store.Object, bool, chan struct{}) {
+// Forget drops the history, so that watches have to list anew.
+func (s *Server) Forget() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.changed == nil {
-		s.changed = make(chan struct{})
+	s.history, s.forgot = nil, s.revision
+	s.signal()
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	c, err := s.dialect.DecodeCall(r)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	switch c.Operation {
+	case store.OperationList:
+		s.answerPage(w, s.list(c), false)
+	case store.OperationWatch:
+		s.watch(w, r, c)
+	default:
+		o, status := s.apply(c)
+		s.answerObject(w, o, status)
+	}
+}
+
+func (s *Server) list(c store.Call) store.Page {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	p := store.Page{Revision: s.revision}
+	for k, o := range s.objects {
+		if k.kind == c.Kind && k.name > c.After {
+			p.Objects = append(p.Objects, o)
+		}
+	}
+	slices.SortFunc(p.Objects, func(a, b store.Object) int { return strings.Compare(a.Name, b.Name) })
+	if len(p.Objects) > pageLength {
+		p.Objects, p.More = p.Objects[:pageLength], true
 	}
-	o, ok := s.objects[name]
-	return o, ok, s.changed
+	return p
 }
 
-func (s *Server) get(w http.ResponseWriter, r *http.Request) {
-	name := r.PathValue("name")
-	after, watching := watchedVersion(r)
-	deadline := time.NewTimer(watchWait)
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, c store.Call) {
+	deadline := time.NewTimer(c.Wait)
 	defer deadline.Stop()
 	for {
-		o, ok, changed := s.lookUp(name)
-		if !watching || ok && o.Version > after {
-			answer(w, o, ok)
+		p, gone, changed := s.since(c)
+		switch {
+		case gone:
+			w.WriteHeader(http.StatusGone)
+			return
+		case len(p.Objects) > 0:
+			s.answerPage(w, p, true)
 			return
 		}
 		select {
 		case <-r.Context().Done():
 			return
 		case <-deadline.C:
-			answer(w, o, ok)
+			s.answerPage(w, p, true)
 			return
 		case <-changed:
 		}
 	}
 }
 
-func watchedVersion(r *http.Request) (uint64, bool) {
-	text := r.URL.Query().Get("after")
-	if text == "" {
-		return 0, false
-	}
-	after, err := strconv.ParseUint(text, 10, 64)
-	return after, err == nil
-}
-
-func answer(w http.ResponseWriter, o store.Object, ok bool) {
-	if !ok {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(o)
-}
-
-func (s *Server) put(w http.ResponseWriter, r *http.Request) {
-	expected, err := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
-	body, readErr := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil || readErr != nil || !json.Valid(body) {
-		w.WriteHeader(http.StatusBadRequest)
-		return
+func (s *Server) since(c store.Call) (store.Page, bool, chan struct{}) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.changed == nil {
+		s.changed = make(chan struct{})
 	}
-	o, ok := s.update(r.PathValue("name"), expected, body)
-	if !ok {
-		w.WriteHeader(http.StatusPreconditionFailed)
-		return
+	p := store.Page{Revision: s.revision}
+	for _, o := range s.history {
+		if o.Kind == c.Kind && o.Revision > c.Revision {
+			p.Objects = append(p.Objects, o)
+		}
 	}
-	answer(w, o, true)
+	return p, c.Revision < s.forgot, s.changed
 }
 
-func (s *Server) update(name string, expected uint64, value json.RawMessage) (store.Object, bool) {
+func (s *Server) apply(c store.Call) (store.Object, int) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.objects[name].Version != expected {
-		return store.Object{}, false
+	k := key{kind: c.Kind, name: c.Name}
+	held, exists := s.objects[k]
+	switch {
+	case c.Operation == store.OperationGet && exists:
+		return held, http.StatusOK
+	case c.Operation != store.OperationCreate && !exists:
+		return store.Object{}, http.StatusNotFound
+	case c.Operation == store.OperationCreate && exists, c.Revision != 0 && c.Revision != held.Revision:
+		return held, http.StatusConflict
+	case c.Operation == store.OperationReplace && string(held.Spec) == string(c.Spec):
+		return held, http.StatusOK
 	}
 	if s.objects == nil {
-		s.objects = make(map[string]store.Object)
+		s.objects = make(map[key]store.Object)
+	}
+	s.revision++
+	o := store.Object{Kind: c.Kind, Name: c.Name, Revision: s.revision, Spec: c.Spec}
+	if c.Operation == store.OperationDelete {
+		o.Spec, o.Deleted = held.Spec, true
+		delete(s.objects, k)
+	} else {
+		s.objects[k] = o
 	}
-	s.version++
-	o := store.Object{Name: name, Version: s.version, Value: value}
-	s.objects[name] = o
+	s.history = append(s.history, o)
+	s.signal()
+	return o, http.StatusOK
+}
+
+func (s *Server) signal() {
 	if s.changed != nil {
 		close(s.changed)
 	}
 	s.changed = make(chan struct{})
-	return o, true
+}
+
+func (s *Server) answerObject(w http.ResponseWriter, o store.Object, status int) {
+	if status == http.StatusNotFound {
+		w.WriteHeader(status)
+		return
+	}
+	b, err := s.dialect.EncodeObject(o)
+	answer(w, b, status, err)
+}
+
+func (s *Server) answerPage(w http.ResponseWriter, p store.Page, watch bool) {
+	b, err := s.dialect.EncodePage(p, watch)
+	answer(w, b, http.StatusOK, err)
+}
+
+func answer(w http.ResponseWriter, body []byte, status int, err error) {
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
 }
