A target's reset counts only for flows that its agent knows to be there

Ruled out: the entry's own reset, which logged none. Change: resets of flows that were merely asked about are dropped and logged.

--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -257,6 +257,12 @@
 func (a *Agent) reply(now time.Time, packet []byte, v *View, out *Output) {
 	f := v.FromTarget()
 	k, known := a.flows.Get(f)
+	if v.Reset && (!known || k.state == stateUnknown) {
+		// A target that was merely asked about a flow must not end it for the host that holds it.
+		out.Dropped = gue.ReasonNoTarget
+		out.decide(Decision{Action: ActionDropped, Flow: f, Reason: "resetOfUnknownFlow", PlanVersion: a.planVersion()})
+		return
+	}
 	if !known {
 		k = &agentFlow{state: stateUnknown, since: now}
 		a.flows.Add(f, k)
