Searches go on until they are certain; flows may wait where their objective allows it

Cause: after a total loss clients of dead flows waited for their deadline, as a search ended after 150 ms without an answer; and an opening packet that found every slot taken was given up after 8 tries within a millisecond. Ruled out: slow starts (a process is ready 20 to 40 ms after it runs). Change: a search repeats its question until a host affirms or all hosts of a settled group deny, and denials count only from agents with the same picture; after two busy hosts a flow may wait for a slot if its objective leaves time; agents answer for flows that their target does not bounce.

--- a/agent/cmd/carrier.go
+++ b/agent/cmd/carrier.go
@@ -84,7 +84,7 @@
 			Packets: s.Packets, Control: s.Control, State: facts.StateServing,
 		},
 		Store: client, Format: format, Logger: logger, Seeds: s.Entries,
-		OnMembers: func(time.Time, []facts.Member) {}, OnPlan: a.onPlan, OnOwn: a.restore,
+		OnMembers: a.onMembers, OnPlan: a.onPlan, OnOwn: a.restore,
 	}
 	return a.process.Run(ctx, a.serve)
 }
@@ -179,6 +179,14 @@
 	a.node.Register.Changed()
 }
 
+// onMembers runs on the control thread.
+func (a *carrierAgent) onMembers(_ time.Time, members []facts.Member) {
+	d := flow.NewDirectory(members)
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.core.UseDirectory(d)
+}
+
 // restore takes what the store kept about the own target, unless the target itself spoke first.
 func (a *carrierAgent) restore(m facts.Member) {
 	if m.Target == nil || m.Target.State == facts.TargetGone {
@@ -249,7 +257,7 @@
 	a := s.agent
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.core.Sweep(now)
+	a.step(now, func(out *flow.Output) { a.core.Sweep(now, out) })
 	a.recorder.Tick(now)
 }
 
--- a/agent/main.go
+++ b/agent/main.go
@@ -2,11 +2,10 @@
 package main
 
 import (
+	"os"
 	// The forms of the users' platform register themselves.
 	_ "github.com/coltsfootline/coltsfootline/platform"
 
-	"os"
-
 	"github.com/coltsfootline/coltsfootline/agent/cmd"
 )
 
--- a/entry/cmd/carrier.go
+++ b/entry/cmd/carrier.go
@@ -125,6 +125,9 @@
 func (e *carrierEntry) Tick(now time.Time) {
 	e.takeOver(now)
 	e.core.Sweep(now)
+	e.output.Clear()
+	e.core.Search(now, &e.output)
+	e.recorder.Record(now, &e.output, carrier.Deliver(e.socket, &e.output))
 	e.recorder.Tick(now)
 }
 
--- a/kernel/carrier/loop.go
+++ b/kernel/carrier/loop.go
@@ -18,7 +18,7 @@
 
 const (
 	// TickPeriod is the time between two sweeps of the flows.
-	TickPeriod = 200 * time.Millisecond
+	TickPeriod = 100 * time.Millisecond
 	// bufferBytes holds the longest packet of any form.
 	bufferBytes = 2048
 	// socketBufferBytes is asked of the kernel: half a second of a core's packets.
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -19,6 +19,8 @@
 	trustWithoutBeat = 1500 * time.Millisecond
 	// probeMark is the mark value of packets given to the target to learn whether it holds a flow.
 	probeMark = ^uint32(0)
+	// bounceTime is how long a target takes to bounce a packet at most; one that does not bounce it knows the flow.
+	bounceTime = 60 * time.Millisecond
 	// finishedTimeout is how long a flow is remembered that ended at the target.
 	finishedTimeout = 3 * time.Second
 )
@@ -37,8 +39,10 @@
 	heard   time.Time
 	started time.Time
 	leaving bool
-	flows   *simplelru.LRU[gue.Flow, *agentFlow]
-	busy    int
+	// digest is that of the service's group as this agent knows it.
+	digest uint32
+	flows  *simplelru.LRU[gue.Flow, *agentFlow]
+	busy   int
 	// serviceTime averages the time from a request to the first octet of its answer.
 	serviceTime time.Duration
 }
@@ -55,6 +59,7 @@
 	acked       uint32
 	// asker is the entry that wants to know whether the target holds the flow.
 	asker netip.Addr
+	asked time.Time
 	// probe is the caller's last packet without data; given to the target again it tells whether the flow is held.
 	probe []byte
 }
@@ -75,6 +80,14 @@
 	}
 }
 
+// UseDirectory takes what this agent knows of its service's hosts.
+func (a *Agent) UseDirectory(d *Directory) {
+	a.digest = 0
+	if g := d.Group(a.Service); g != nil {
+		a.digest = uint32(g.Digest)
+	}
+}
+
 // UseTarget takes word of the target; heard says that the target itself gave it.
 func (a *Agent) UseTarget(now time.Time, t facts.Target, heard bool, out *Output) {
 	a.prepare(now)
@@ -165,14 +178,32 @@
 	case a.heard.IsZero() && now.Sub(a.started) > trustWithoutBeat:
 		return CodeRefused, "targetSilent"
 	}
-	// An entry with a newer plan knows better than this agent; the marks carry the low 32 bits.
-	if a.plan != nil && int32(v.Mark.Value-uint32(a.plan.Version)) <= 0 {
-		if r := a.plan.Find(f.Service); r == nil || !r.Leads(a.Service) {
+	var route *plan.Route
+	if a.plan != nil {
+		route = a.plan.Find(f.Service)
+		// An entry with a newer plan knows better than this agent; the marks carry the low 32 bits.
+		if int32(v.Mark.Value-uint32(a.plan.Version)) <= 0 && (route == nil || !route.Leads(a.Service)) {
 			return CodeRefused, "noRoute"
 		}
 	}
-	if v.Mark.Code != CodeForce && a.busy >= max(a.target.Slots, 1) {
+	return a.admit(route, v)
+}
+
+// admit gives a flow back that would have to wait: always unless the entry allows it, and then if it would wait
+// longer than its objective leaves time for. The last copy of an opening packet waits as long as the target lets it.
+func (a *Agent) admit(route *plan.Route, v *View) (Code, string) {
+	slots := max(a.target.Slots, 1)
+	switch {
+	case a.busy < slots:
+		return CodeNone, ""
+	case v.Mark.Code != CodeForce:
 		return CodeBusy, "busy"
+	case v.Copy >= lastCopy || route == nil || route.Objective == 0:
+		return CodeNone, ""
+	}
+	wait := a.serviceTime * time.Duration(a.busy-slots+1) / time.Duration(slots)
+	if wait+a.serviceTime > route.Objective {
+		return CodeBusy, "wait"
 	}
 	return CodeNone, ""
 }
@@ -186,14 +217,18 @@
 		return
 	}
 	if !known {
-		k = &agentFlow{since: now, asker: from.Addr()}
+		k = &agentFlow{since: now}
 		a.flows.Add(f, k)
 	}
+	if k.state == stateUnknown && !k.asker.IsValid() {
+		k.asker, k.asked = from.Addr(), now
+	}
 	k.last = now
 	k.acked = v.Acknowledged
 	a.observe(now, k, packet, v)
-	if v.Mark.Code == CodeLocate && known && (k.state == stateOpen || k.state == stateOpening) {
-		a.tell(from, packet, out)
+	if v.Mark.Code == CodeLocate && known && k.state != stateUnknown {
+		k.asker = from.Addr()
+		a.tell(f, k, out)
 	}
 	a.deliver(from.Addr(), packet, out)
 }
@@ -208,7 +243,10 @@
 		k.state = stateClosed
 	case v.Finish:
 	case v.Length > 0:
-		a.setBusy(k, true, now)
+		// Flows that the target was merely asked about, or that ended, are no load.
+		if k.state == stateOpening || k.state == stateOpen {
+			a.setBusy(k, true, now)
+		}
 	default:
 		k.probe = append(k.probe[:0], packet...)
 	}
@@ -248,7 +286,7 @@
 	if v.Opening {
 		code = CodeFull
 	}
-	a.Codec.SetMark(packet, Mark{Code: code})
+	a.Codec.SetMark(packet, Mark{Code: code, Value: a.digest})
 	out.send(a.entry(value), packet)
 	out.decide(Decision{Action: ActionBounced, Flow: f, Reason: code.String(), PlanVersion: a.planVersion(), Count: a.busy})
 }
@@ -281,7 +319,7 @@
 		k.state = stateOpen
 	}
 	if k.asker.IsValid() && k.state == stateOpen {
-		a.tellOf(f, k, out)
+		a.tell(f, k, out)
 	}
 	if v.Finish {
 		k.state = stateClosed
@@ -290,14 +328,8 @@
 	out.send(callerAddress(f, a.Self), packet)
 }
 
-// tell answers an entry that the target holds the packet's flow.
-func (a *Agent) tell(to netip.AddrPort, packet []byte, out *Output) {
-	answer := append([]byte(nil), packet[:a.Codec.HeaderLength()]...)
-	a.Codec.SetMark(answer, Mark{Code: CodeHere})
-	out.send(to, answer)
-}
-
-func (a *Agent) tellOf(f gue.Flow, k *agentFlow, out *Output) {
+// tell answers the entry that asked about a flow that the target holds it. The answer is a header alone.
+func (a *Agent) tell(f gue.Flow, k *agentFlow, out *Output) {
 	answer := a.Codec.PutReset(make([]byte, a.Codec.HeaderLength()), gue.Flow{Caller: f.Service, Service: f.Caller}, 0)
 	a.Codec.SetMark(answer, Mark{Code: CodeHere})
 	out.send(netip.AddrPortFrom(k.asker, a.Self.Port()), answer)
@@ -305,7 +337,7 @@
 }
 
 func (a *Agent) giveBack(to netip.AddrPort, packet []byte, out *Output) {
-	a.Codec.SetMark(packet, Mark{Code: CodeNotHere})
+	a.Codec.SetMark(packet, Mark{Code: CodeNotHere, Value: a.digest})
 	out.send(to, packet)
 }
 
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -15,8 +15,14 @@
 	// maxFlows bounds the flows that an entry remembers; the brief's entries hold hundreds of thousands, and a
 	// forgotten flow costs one search.
 	maxFlows = 65536
-	// maxTried is how many hosts an opening packet and its copies may go to.
-	maxTried = 4
+	// maxTried is how many hosts are remembered that an opening packet or a copy of it went to.
+	maxTried = 8
+	// maxPlacements is how often one copy of an opening packet is sent to hosts: each takes about a millisecond.
+	maxPlacements = 6
+	// freeTries is how many hosts are asked for a free slot before one is asked to let the flow wait for a slot.
+	freeTries = 2
+	// lastCopy is the count of the last copy that a caller sends of an opening packet.
+	lastCopy = 2
 	// openingTimeout is how long a placed flow counts as load without a packet from its caller: callers give an
 	// attempt up after 1.4 s.
 	openingTimeout = 1500 * time.Millisecond
@@ -39,25 +45,34 @@
 
 	plan      *plan.Plan
 	directory *Directory
-	settled   time.Time
-	flows     *simplelru.LRU[gue.Flow, *entryFlow]
-	loads     map[string]*hostLoad
-	order     []ranked
-	options   []placement.FlowOption
-	choices   []*hostLoad
+	// changed is when the directory last changed, and settled since when groups are as they are, by digest.
+	changed time.Time
+	settled map[uint64]time.Time
+	// searches are the flows whose holder is asked for.
+	searches map[gue.Flow]*entryFlow
+	flows    *simplelru.LRU[gue.Flow, *entryFlow]
+	loads    map[string]*hostLoad
+	order    []ranked
+	options  []placement.FlowOption
+	choices  []*hostLoad
 }
 
 // entryFlow is what an entry remembers of a flow: a hint, never the truth.
 type entryFlow struct {
 	holder *hostLoad
 	// tried are the hosts that opening packets went to.
-	tried  [maxTried]*hostLoad
-	tries  int
-	stage  stage
-	since  time.Time
-	last   time.Time
-	acked  uint32
-	search *search
+	tried [maxTried]*hostLoad
+	tries int
+	// given is how often hosts gave the opening packet back.
+	given int
+	// copy is the caller's count of the latest opening packet, and placements how often that one went to hosts.
+	copy       uint32
+	placements int
+	stage      stage
+	since      time.Time
+	last       time.Time
+	acked      uint32
+	search     *search
 }
 
 type stage uint8
@@ -74,6 +89,7 @@
 	if e.flows == nil {
 		e.flows, _ = simplelru.NewLRU[gue.Flow, *entryFlow](maxFlows, e.forget)
 		e.loads = make(map[string]*hostLoad)
+		e.searches = make(map[gue.Flow]*entryFlow)
 	}
 	if p != nil && (e.plan == nil || p.Version >= e.plan.Version) {
 		e.plan = p
@@ -82,7 +98,8 @@
 		return
 	}
 	e.directory = d
-	e.settled = now
+	e.changed = now
+	e.settleGroups(now)
 	for _, h := range d.byAddress {
 		l := e.load(h.Instance)
 		if l.host != nil && !l.host.Target.SameIncarnation(h.Target) {
@@ -97,6 +114,21 @@
 	}
 }
 
+// settleGroups notes since when each service's group is as it is.
+func (e *Entry) settleGroups(now time.Time) {
+	before := e.settled
+	e.settled = make(map[uint64]time.Time, len(e.directory.byService))
+	for _, g := range e.directory.byService {
+		// Searches mix the digests of a route's groups; most routes have one.
+		key := mix(g.Digest)
+		at, known := before[key]
+		if !known {
+			at = now
+		}
+		e.settled[key] = at
+	}
+}
+
 // Step decides about one packet that came from an address.
 func (e *Entry) Step(now time.Time, from netip.AddrPort, packet []byte, out *Output) {
 	v, reason := e.Codec.Parse(packet)
@@ -144,15 +176,28 @@
 		e.flows.Add(f, k)
 	}
 	k.last = now
-	e.place(now, f, route, k, packet, out)
+	k.copy, k.placements = v.Copy, 0
+	e.place(now, f, route, k, packet, v, out)
+}
+
+// mayWait says whether the flow may wait for a slot. The first copy of a repeated opening packet is behind its
+// objective already and takes free slots only, so that it doesn't delay those that can still be served in time; the
+// last one has no other chance.
+func (k *entryFlow) mayWait() bool {
+	return k.copy == 0 || k.copy >= lastCopy
 }
 
-// place sends an opening packet to the best host that it has not been at yet.
-func (e *Entry) place(now time.Time, f gue.Flow, route *plan.Route, k *entryFlow, packet []byte, out *Output) {
+// place sends an opening packet to the best host that it has not been at yet, or has to be taken by one that it has.
+func (e *Entry) place(now time.Time, f gue.Flow, route *plan.Route, k *entryFlow, packet []byte, v *View, out *Output) {
 	service := route.ServiceOf(f)
-	l := e.choose(now, f, service, k)
-	if l == nil {
-		e.leaveUnplaced(now, f, k, out)
+	mark := Mark{Value: uint32(e.plan.Version)}
+	l := e.choose(now, f, service, k, false)
+	if k.mayWait() && (l == nil || k.placements >= freeTries) {
+		l = e.choose(now, f, service, k, true)
+		mark.Code = CodeForce
+	}
+	if l == nil || k.placements == maxPlacements {
+		e.leaveUnplaced(now, f, k, v, out)
 		return
 	}
 	action := ActionPlaced
@@ -164,12 +209,9 @@
 		k.tried[k.tries] = l
 	}
 	k.tries++
+	k.placements++
 	k.since = now
 	e.setStage(k, l, stageOpening)
-	mark := Mark{Value: uint32(e.plan.Version)}
-	if k.tries >= maxTried || k.tries > len(e.options) {
-		mark.Code = CodeForce
-	}
 	e.forward(l, packet, mark, out)
 	out.decide(Decision{
 		Action: action, Flow: f, Instance: l.host.Instance, Reason: service, PlanVersion: e.plan.Version,
@@ -177,11 +219,21 @@
 	})
 }
 
-func (e *Entry) leaveUnplaced(now time.Time, f gue.Flow, k *entryFlow, out *Output) {
+// leaveUnplaced gives an opening packet up. Its caller repeats it; the last copy is answered with a reset if every
+// host that had a copy gave it back, so that the caller need not wait.
+func (e *Entry) leaveUnplaced(now time.Time, f gue.Flow, k *entryFlow, v *View, out *Output) {
+	d := Decision{
+		Action: ActionUnplaced, Flow: f, Reason: "silent", PlanVersion: e.plan.Version,
+		Count: k.tries, AgeMs: now.Sub(k.since).Milliseconds(),
+	}
+	e.setStage(k, nil, stageIdle)
+	if v.Copy >= lastCopy && k.given == k.tries {
+		d.Reason = "reset"
+		out.send(callerAddress(f, e.Self), e.Codec.PutReset(make([]byte, e.Codec.HeaderLength()), f, 0))
+		e.flows.Remove(f)
+	}
 	out.Dropped = gue.ReasonNoTarget
-	out.decide(Decision{
-		Action: ActionUnplaced, Flow: f, PlanVersion: e.plan.Version, Count: k.tries, AgeMs: now.Sub(k.since).Milliseconds(),
-	})
+	out.decide(d)
 }
 
 // carry forwards a packet of an open flow to its holder, or searches for it.
@@ -192,8 +244,9 @@
 		e.flows.Add(f, k)
 	}
 	k.last = now
-	if k.search != nil && now.Sub(k.search.started) < searchTimeout {
+	if k.search != nil {
 		k.search.hold(packet, v)
+		e.progress(now, f, e.groupOf(f, route), k, out)
 		return
 	}
 	if k.holder == nil || k.holder.host == nil {
@@ -254,15 +307,13 @@
 func (e *Entry) declined(now time.Time, f gue.Flow, route *plan.Route, l *hostLoad, packet []byte, v *View, out *Output) {
 	l.declined(now, v.Mark.Code)
 	k, known := e.flows.Get(f)
-	if !known || k.stage != stageOpening || k.holder != l {
+	if !known {
 		return
 	}
-	if k.tries >= 2*maxTried {
-		e.setStage(k, nil, stageIdle)
-		e.leaveUnplaced(now, f, k, out)
-		return
+	k.given++
+	if k.stage == stageOpening && k.holder == l {
+		e.place(now, f, route, k, packet, v, out)
 	}
-	e.place(now, f, route, k, packet, out)
 }
 
 func (e *Entry) forward(l *hostLoad, packet []byte, m Mark, out *Output) {
@@ -310,8 +361,9 @@
 	return e.flows.Len()
 }
 
-func (e *Entry) forget(_ gue.Flow, k *entryFlow) {
+func (e *Entry) forget(f gue.Flow, k *entryFlow) {
 	e.setStage(k, nil, stageIdle)
+	e.endSearch(f, k)
 }
 
 func (e *Entry) load(instance string) *hostLoad {
--- /dev/null
+++ b/kernel/flow/flow_test.go
@@ -0,0 +1,300 @@
+package flow
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/plan"
+)
+
+func TestFlowIsServedThroughItsEntry(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	h := w.opens(0, 1)
+	answered, reset := w.asks(0, 1, h)
+	require.True(t, answered)
+	require.False(t, reset)
+}
+
+func TestAnotherEntryFindsTheHolder(t *testing.T) {
+	w := newWorld(t, 2, 5)
+	h := w.opens(0, 1)
+	answered, reset := w.asks(1, 1, h)
+	require.True(t, answered)
+	require.False(t, reset)
+	before := len(w.reasons(ActionSearch))
+	answered, _ = w.asks(1, 1, h)
+	require.True(t, answered)
+	require.Len(t, w.reasons(ActionSearch), before, "the entry remembers the holder")
+}
+
+func TestSearchReachesHostsBeyondTheFirstCandidates(t *testing.T) {
+	w := newWorld(t, 2, 3*candidates)
+	for n := range 20 {
+		h := w.opens(0, n)
+		for _, e := range w.entries {
+			e.DataCentre = "x"
+		}
+		answered, reset := w.asks(1, n, h)
+		require.True(t, answered)
+		require.False(t, reset)
+	}
+}
+
+func TestRestartedAgentAsksItsTarget(t *testing.T) {
+	w := newWorld(t, 2, 5)
+	h := w.opens(0, 1)
+	w.startAgent(h)
+	answered, reset := w.asks(1, 1, h)
+	require.True(t, answered)
+	require.False(t, reset)
+}
+
+func TestFlowOfDeadTargetIsReset(t *testing.T) {
+	w := newWorld(t, 2, 5)
+	h := w.opens(0, 1)
+	h.startTarget()
+	_, reset := w.asks(1, 1, h)
+	require.True(t, reset)
+}
+
+func TestFlowOfUnansweringHostIsNotReset(t *testing.T) {
+	w := newWorld(t, 2, 5)
+	h := w.opens(0, 1)
+	w.lose = func(to netip.AddrPort, _ View) bool { return to == h.member.Packets }
+	for range 5 {
+		_, reset := w.asks(1, 1, h)
+		require.False(t, reset)
+		w.pass(searchLimit)
+	}
+}
+
+// A target that has just started answered data of a flow that it never held with a reset (hunt: quiet-1, 4.173 s).
+func TestResetOfTargetThatWasOnlyAskedIsDropped(t *testing.T) {
+	w := newWorld(t, 2, 5)
+	h := w.opens(0, 1)
+	for _, o := range w.hosts {
+		o.target.resetsUnknown = o != h
+	}
+	_, reset := w.asks(1, 1, h)
+	require.False(t, reset)
+}
+
+func TestNewHostUnsettlesCertainty(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	h := w.opens(0, 1)
+	h.startTarget()
+	w.hosts[(indexOf(w, h)+1)%3].member.Target.ID = "another"
+	w.tell(0)
+	w.tell(1)
+	_, reset := w.asks(1, 1, h)
+	require.False(t, reset, "a directory that changed just now proves nothing")
+	before := len(w.toCaller)
+	w.tellAgents()
+	w.pass(settleTime)
+	require.Greater(t, len(w.toCaller), before, "the search goes on by itself")
+	require.True(t, w.toCaller[len(w.toCaller)-1].Reset)
+}
+
+// An agent that knows of a host that the entry doesn't makes its denial worthless.
+func TestDenialFromAnotherPictureIsNotCertain(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	h := w.opens(0, 1)
+	h.startTarget()
+	other := w.hosts[(indexOf(w, h)+1)%3].agent
+	other.digest++
+	_, reset := w.asks(1, 1, h)
+	require.False(t, reset)
+	other.digest--
+	w.pass(askAgain)
+	require.True(t, w.toCaller[len(w.toCaller)-1].Reset)
+}
+
+// After a total loss a host may be slow to start: the search asks it again instead of waiting for the caller.
+func TestSearchAsksAgain(t *testing.T) {
+	w := newWorld(t, 2, 5)
+	h := w.opens(0, 1)
+	w.lose = func(to netip.AddrPort, _ View) bool { return to == h.member.Packets }
+	answered, _ := w.asks(1, 1, h)
+	require.False(t, answered)
+	w.lose = nil
+	before := len(w.toCaller)
+	w.pass(askAgain)
+	require.Greater(t, len(w.toCaller), before)
+	require.Positive(t, w.toCaller[len(w.toCaller)-1].Length)
+}
+
+// With all slots taken, new flows wait where the objective allows it; repeated ones don't stand in their way.
+func TestBusyHostsTakeFlowsThatCanStillBeInTime(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	w.plan.Routes[0].Objective = 150 * time.Millisecond
+	for _, h := range w.hosts {
+		h.agent.busy, h.agent.serviceTime = 4, 40*time.Millisecond
+	}
+	w.opens(0, 1)
+	before := len(w.toCaller)
+	w.send(0, View{Source: caller(2), Opening: true, Copy: 1})
+	require.Len(t, w.toCaller, before)
+	w.send(0, View{Source: caller(2), Opening: true, Copy: 2})
+	require.Greater(t, len(w.toCaller), before)
+	for _, h := range w.hosts {
+		h.agent.busy = 20
+	}
+	before = len(w.toCaller)
+	w.send(0, View{Source: caller(3), Opening: true})
+	require.Len(t, w.toCaller, before, "it would wait longer than its objective")
+}
+
+// A target answers nothing to an acknowledgement: that it does not bounce it says that it knows the flow.
+func TestSilentTargetOfRestartedAgentHoldsTheFlow(t *testing.T) {
+	w := newWorld(t, 2, 5)
+	h := w.opens(0, 1)
+	w.startAgent(h)
+	w.send(1, View{Source: caller(1), Acknowledged: h.target.held[flowOf(1)] + 1})
+	require.Empty(t, w.reasons(ActionFound))
+	w.pass(bounceTime + time.Millisecond)
+	require.Len(t, w.reasons(ActionFound), 1)
+}
+
+// Hosts that are asked about a flow must not count its request as theirs (batinah quiet-1: every host seemed busy).
+func TestAskedHostsAreNotBusy(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	h := w.opens(0, 1)
+	for _, o := range w.hosts {
+		o.target.resetsUnknown = o != h
+	}
+	w.asks(1, 1, h)
+	for _, o := range w.hosts {
+		require.Zero(t, o.agent.Busy())
+	}
+}
+
+func TestDrainingTargetTakesNoNewFlow(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	var out Output
+	draining := *w.hosts[0].member.Target
+	draining.State = facts.TargetDraining
+	// Only the agent knows: the entry's directory is out of date.
+	w.hosts[0].agent.UseTarget(w.now, draining, true, &out)
+	for n := range 20 {
+		require.Same(t, w.hosts[1], w.opens(0, n))
+	}
+	require.Empty(t, w.hosts[0].target.got)
+}
+
+func TestNewerPlanAtTheAgentRefusesDroppedRoute(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	newer := &plan.Plan{Version: 2}
+	newer.Index()
+	w.hosts[0].agent.UsePlan(newer)
+	w.send(0, View{Source: caller(1), Opening: true})
+	require.Empty(t, w.hosts[0].target.got)
+}
+
+func TestOlderPlanAtTheAgentTrustsTheEntry(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	empty := &plan.Plan{Version: 1}
+	empty.Index()
+	w.hosts[0].agent = &Agent{Self: w.hosts[0].member.Packets, Service: "s", Target: targetAddress(w.hosts[0]), Codec: testCodec{}}
+	w.hosts[0].agent.UsePlan(empty)
+	var out Output
+	w.hosts[0].agent.UseTarget(w.now, *w.hosts[0].member.Target, true, &out)
+	w.plan = &plan.Plan{Version: 5, Routes: w.plan.Routes}
+	w.plan.Index()
+	w.tell(0)
+	w.opens(0, 1)
+}
+
+func TestPlanNeverGoesBack(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	older := &plan.Plan{Version: 0}
+	older.Index()
+	w.entries[0].Use(w.now, older, nil)
+	w.hosts[0].agent.UsePlan(older)
+	w.opens(0, 1)
+}
+
+func TestFullTargetsFlowGoesElsewhere(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	w.hosts[0].target.full = true
+	w.hosts[1].target.full = true
+	for n := range 10 {
+		require.Same(t, w.hosts[2], w.opens(0, n))
+	}
+}
+
+func TestRepeatedOpeningGoesToAnotherHost(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	dead := netip.AddrPort{}
+	w.lose = func(to netip.AddrPort, v View) bool {
+		if v.Opening && !dead.IsValid() && to != w.entries[0].Self {
+			dead = to
+		}
+		return to == dead
+	}
+	w.send(0, View{Source: caller(1), Opening: true})
+	require.Empty(t, w.toCaller)
+	w.pass(200 * time.Millisecond)
+	w.send(0, View{Source: caller(1), Opening: true, Copy: 1})
+	require.NotEmpty(t, w.toCaller)
+}
+
+// Two hosts may accept copies of one opening packet; the flow lives where the caller acknowledged the number.
+func TestFlowLivesWhereItsAcceptanceWasAcknowledged(t *testing.T) {
+	for i := range 2 {
+		w := newWorld(t, 1, 2)
+		w.send(0, View{Source: caller(1), Opening: true})
+		w.send(0, View{Source: caller(1), Opening: true, Copy: 1})
+		require.Len(t, w.toCaller, 2)
+		w.send(0, View{Source: caller(1), Acknowledged: w.toCaller[i].Sequence + 1, Length: 1})
+		for _, h := range w.hosts {
+			require.Equal(t, h.target.held[flowOf(1)] == w.toCaller[i].Sequence, h.target.open[flowOf(1)])
+		}
+	}
+}
+
+func TestRebornTargetsFlowsAreResetAtOnce(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	h := w.opens(0, 1)
+	h.startTarget()
+	reborn := *h.member.Target
+	reborn.BornMs++
+	var out Output
+	h.agent.UseTarget(w.now, reborn, true, &out)
+	w.emit(h.member.Packets, &out)
+	w.settle()
+	require.True(t, w.toCaller[len(w.toCaller)-1].Reset)
+}
+
+func TestLiveFlowOfRebornTargetIsKept(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	h := w.opens(0, 1)
+	// The flow was opened at the new incarnation, whose first word comes only now.
+	reborn := *h.member.Target
+	reborn.BornMs++
+	var out Output
+	h.agent.UseTarget(w.now, reborn, true, &out)
+	w.emit(h.member.Packets, &out)
+	w.settle()
+	require.Empty(t, w.reasons(ActionReset))
+}
+
+func TestStrangersAnswersAreDropped(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	var out Output
+	p := encode(View{Source: caller(1), Destination: testService, Opening: true, Mark: Mark{Code: CodeFull}})
+	w.entries[0].Step(w.now, address(99), p, &out)
+	require.Empty(t, out.Sends)
+}
+
+func indexOf(w *world, h *testHost) int {
+	for i := range w.hosts {
+		if w.hosts[i] == h {
+			return i
+		}
+	}
+	return -1
+}
--- a/kernel/flow/load.go
+++ b/kernel/flow/load.go
@@ -10,7 +10,8 @@
 const (
 	// serviceTimeWeight is the share of a new observation in the average; ten observations replace it.
 	serviceTimeWeight = 0.1
-	// busyPenalty is how long a host that said it is busy is the last choice: about one request's work.
+	// busyPenalty is how long a host that said it is busy is the last choice, and one whose queue is full no choice:
+	// about one request's work.
 	busyPenalty = 40 * time.Millisecond
 	// refusedPenalty is how long a host that refuses flows is not chosen: membership tells within that time.
 	refusedPenalty = 500 * time.Millisecond
@@ -38,15 +39,18 @@
 }
 
 func (l *hostLoad) declined(now time.Time, c Code) {
-	if c == CodeRefused {
+	switch c {
+	case CodeRefused:
 		l.refusedUntil = now.Add(refusedPenalty)
-		return
+	case CodeFull:
+		l.refusedUntil = now.Add(busyPenalty)
+	default:
+		l.busyUntil = now.Add(busyPenalty)
 	}
-	l.busyUntil = now.Add(busyPenalty)
 }
 
-// choose picks a host of the service for a new flow among those that it was not at yet, or nil.
-func (e *Entry) choose(now time.Time, f gue.Flow, service string, k *entryFlow) *hostLoad {
+// choose picks a host of the service for a new flow, or nil. Hosts that it was at already are left out unless again.
+func (e *Entry) choose(now time.Time, f gue.Flow, service string, k *entryFlow, again bool) *hostLoad {
 	g := e.directory.Group(service)
 	if g == nil {
 		return nil
@@ -59,7 +63,7 @@
 			break
 		}
 		l := e.load(r.host.Instance)
-		if !r.host.Placeable || k.was(l) || now.Before(l.refusedUntil) {
+		if !r.host.Placeable || !again && k.was(l) || now.Before(l.refusedUntil) {
 			continue
 		}
 		e.choices = append(e.choices, l)
--- a/kernel/flow/probe.go
+++ b/kernel/flow/probe.go
@@ -35,8 +35,9 @@
 	})
 }
 
-// Sweep forgets flows that ended or have been idle. Call it a few times a second.
-func (a *Agent) Sweep(now time.Time) {
+// Sweep forgets flows that ended or have been idle, and tells entries of flows that the target did not bounce. Call it
+// a few times a second.
+func (a *Agent) Sweep(now time.Time, out *Output) {
 	a.prepare(now)
 	idle := defaultIdleTimeout
 	if a.plan != nil && a.plan.IdleTimeout > 0 {
@@ -45,6 +46,9 @@
 	for _, f := range a.flows.Keys() {
 		k, _ := a.flows.Peek(f)
 		age := now.Sub(k.last)
+		if k.asker.IsValid() && now.Sub(k.asked) > bounceTime {
+			a.tell(f, k, out)
+		}
 		switch {
 		case age > idle, k.state == stateClosed && age > finishedTimeout, k.state == stateUnknown && age > finishedTimeout:
 			a.flows.Remove(f)
@@ -53,4 +57,3 @@
 		}
 	}
 }
-
--- a/kernel/flow/search.go
+++ b/kernel/flow/search.go
@@ -8,24 +8,31 @@
 )
 
 const (
-	// searchTimeout is how long a search waits for answers before the next packet begins another: less than the
-	// 200 ms after which ends repeat a packet.
-	searchTimeout = 150 * time.Millisecond
+	// askAgain is how long a search waits for an answer before it asks again: a datagram may be lost, and an agent
+	// may just be starting.
+	askAgain = 100 * time.Millisecond
+	// searchLimit is how long a search lasts. Ends repeat a packet after 200 ms to 1.6 s, which begins another.
+	searchLimit = 3 * time.Second
 	// heldPackets is how many packets wait for a search: an end has at most 16 in flight.
 	heldPackets = 16
-	// settleTime is how long the directory must be unchanged before a denial by all hosts is certain: a new host is
-	// known everywhere within two exchanges of 250 ms.
-	settleTime = 500 * time.Millisecond
+	// maxSearches bounds the searches at once, and with heldPackets the memory that they take.
+	maxSearches = 1024
+	// settleTime is how long a group must be unchanged before a denial by all its hosts is certain: a new host is
+	// known everywhere within an exchange.
+	settleTime = 300 * time.Millisecond
 )
 
-// search is the question which host holds a flow.
+// search is the question which host holds a flow. It lasts until a host affirms, all deny, or searchLimit.
 type search struct {
 	started time.Time
+	asked   time.Time
 	digest  uint64
-	asked   []*hostLoad
-	denied  []*hostLoad
-	held    [][]byte
-	acked   uint32
+	// wide says that all hosts are asked, not just those that the flow may have been placed on.
+	wide   bool
+	denied []*hostLoad
+	// held are the packets that wait, the first of which asks.
+	held  [][]byte
+	acked uint32
 }
 
 func (s *search) hold(packet []byte, v *View) {
@@ -35,50 +42,65 @@
 	s.acked = v.Acknowledged
 }
 
-// groupsOf returns the hosts that may hold a flow of the route.
-func (e *Entry) groupsOf(route *plan.Route) ([]*Group, uint64) {
-	var groups []*Group
-	var digest uint64
+// group is the hosts that may hold a flow of a route.
+type group struct {
+	hosts  []*Host
+	digest uint64
+	// digests are the services' own, as agents tell them.
+	digests map[string]uint32
+}
+
+func (e *Entry) groupOf(f gue.Flow, route *plan.Route) group {
+	g := group{digests: map[string]uint32{}}
 	for _, s := range route.Shares {
-		if g := e.directory.Group(s.Service); g != nil {
-			groups = append(groups, g)
-			digest = mix(digest ^ g.Digest)
+		one := e.directory.Group(s.Service)
+		if one == nil {
+			continue
+		}
+		g.digest = mix(g.digest ^ one.Digest)
+		g.digests[s.Service] = uint32(one.Digest)
+		e.order = one.rank(f, e.order)
+		for _, r := range e.order {
+			g.hosts = append(g.hosts, r.host)
 		}
 	}
-	return groups, digest
+	return g
 }
 
-func (e *Entry) beginSearch(now time.Time, f gue.Flow, route *plan.Route, k *entryFlow, packet []byte, v *View, out *Output) {
-	_, digest := e.groupsOf(route)
-	k.search = &search{started: now, digest: digest, acked: v.Acknowledged}
-	e.ask(now, f, route, k, packet, out)
+// beginSearch asks which host holds the flow of a packet. Hosts in denied are known not to.
+func (e *Entry) beginSearch(now time.Time, f gue.Flow, route *plan.Route, k *entryFlow, packet []byte, v *View, out *Output, denied ...*hostLoad) {
+	if len(e.searches) >= maxSearches {
+		out.Dropped = gue.ReasonRate
+		return
+	}
+	e.setStage(k, nil, stageIdle)
+	g := e.groupOf(f, route)
+	k.search = &search{started: now, digest: g.digest, denied: denied}
+	k.search.hold(packet, v)
+	e.searches[f] = k
+	e.ask(now, f, g, k, out)
 }
 
-// ask sends the packet to the hosts asked next: those that the flow may have been placed on, then all others.
-func (e *Entry) ask(now time.Time, f gue.Flow, route *plan.Route, k *entryFlow, packet []byte, out *Output) {
-	groups, _ := e.groupsOf(route)
-	before := len(k.search.asked)
-	e.Codec.SetMark(packet, Mark{Code: CodeLocate})
-	for _, g := range groups {
-		limit := len(g.Hosts)
-		if before == 0 {
-			limit = min(limit, candidates)
+// ask sends the first held packet to the hosts that did not answer yet: first to the likely ones, then to all.
+func (e *Entry) ask(now time.Time, f gue.Flow, g group, k *entryFlow, out *Output) {
+	s := k.search
+	s.asked = now
+	asked := 0
+	for i, h := range g.hosts {
+		if !s.wide && i >= candidates {
+			break
 		}
-		e.order = g.rank(f, e.order)
-		for _, r := range e.order[:limit] {
-			l := e.load(r.host.Instance)
-			if contains(k.search.asked, l) {
-				continue
-			}
-			k.search.asked = append(k.search.asked, l)
-			out.send(r.host.Packets, packet)
+		if contains(s.denied, e.load(h.Instance)) {
+			continue
 		}
+		p := append([]byte(nil), s.held[0]...)
+		e.Codec.SetMark(p, Mark{Code: CodeLocate})
+		out.send(h.Packets, p)
+		asked++
 	}
-	if asked := len(k.search.asked) - before; asked > 0 {
-		out.decide(Decision{Action: ActionSearch, Flow: f, PlanVersion: e.plan.Version, Count: asked})
-		return
-	}
-	e.conclude(now, f, route, k, out)
+	out.decide(Decision{
+		Action: ActionSearch, Flow: f, PlanVersion: e.plan.Version, Count: asked, AgeMs: now.Sub(s.started).Milliseconds(),
+	})
 }
 
 // notHere takes a host's denial.
@@ -88,43 +110,75 @@
 		k = &entryFlow{since: now, last: now}
 		e.flows.Add(f, k)
 	}
-	if k.holder != nil && k.holder != l && k.search == nil {
-		e.forward(k.holder, packet, Mark{}, out)
+	if k.search == nil {
+		if k.holder != nil && k.holder != l {
+			// The search ended meanwhile; the holder has the packet unless it came from the cache alone.
+			return
+		}
+		e.beginSearch(now, f, route, k, packet, v, out, l)
 		return
 	}
-	if k.search == nil || now.Sub(k.search.started) >= searchTimeout {
-		e.setStage(k, nil, stageIdle)
-		_, digest := e.groupsOf(route)
-		k.search = &search{started: now, digest: digest, acked: v.Acknowledged, asked: []*hostLoad{l}, denied: []*hostLoad{l}}
-		e.ask(now, f, route, k, packet, out)
+	g := e.groupOf(f, route)
+	if k.search.digest == g.digest && g.digests[l.host.Service] == v.Mark.Value && !contains(k.search.denied, l) {
+		k.search.denied = append(k.search.denied, l)
+	}
+	e.progress(now, f, g, k, out)
+}
+
+// progress ends a search, widens it, or asks again.
+func (e *Entry) progress(now time.Time, f gue.Flow, g group, k *entryFlow, out *Output) {
+	s := k.search
+	if s.digest != g.digest {
+		// Denials of other incarnations, or among fewer hosts, say nothing.
+		s.digest, s.denied, s.wide = g.digest, nil, true
+		e.ask(now, f, g, k, out)
 		return
 	}
-	if !contains(k.search.denied, l) {
-		k.search.denied = append(k.search.denied, l)
+	left, likely := 0, 0
+	for i, h := range g.hosts {
+		if contains(s.denied, e.load(h.Instance)) {
+			continue
+		}
+		left++
+		if i < candidates {
+			likely++
+		}
 	}
-	if len(k.search.denied) >= len(k.search.asked) {
-		e.ask(now, f, route, k, packet, out)
+	switch {
+	case left == 0 && len(g.hosts) > 0 && now.Sub(e.settledAt(g.digest)) >= settleTime:
+		e.resetUnheld(now, f, k, out)
+	case now.Sub(s.started) > searchLimit:
+		e.giveUp(now, f, k, left, out)
+	case left > 0 && (likely == 0 && !s.wide || now.Sub(s.asked) >= askAgain):
+		s.wide = true
+		e.ask(now, f, g, k, out)
 	}
 }
 
-// conclude ends a search that no host affirmed. It resets the flow only if every host of an unchanged, settled
-// directory denied it.
-func (e *Entry) conclude(now time.Time, f gue.Flow, route *plan.Route, k *entryFlow, out *Output) {
+// settledAt is when the group became as it is.
+func (e *Entry) settledAt(digest uint64) time.Time {
+	if at, known := e.settled[digest]; known {
+		return at
+	}
+	return e.changed
+}
+
+// resetUnheld resets a flow that every host of a settled group denied.
+func (e *Entry) resetUnheld(now time.Time, f gue.Flow, k *entryFlow, out *Output) {
 	s := k.search
-	_, digest := e.groupsOf(route)
-	d := Decision{
+	out.send(callerAddress(f, e.Self), e.Codec.PutReset(make([]byte, e.Codec.HeaderLength()), f, s.acked))
+	out.decide(Decision{
 		Action: ActionReset, Flow: f, Reason: "nobodyHolds", PlanVersion: e.plan.Version,
 		Count: len(s.denied), AgeMs: now.Sub(s.started).Milliseconds(),
-	}
-	switch {
-	case len(s.denied) == 0 || len(s.denied) < len(s.asked):
-		d.Action, d.Reason = ActionUncertain, "unanswered"
-	case digest != s.digest || now.Sub(e.settled) < settleTime:
-		d.Action, d.Reason = ActionUncertain, "unsettled"
-	default:
-		out.send(callerAddress(f, e.Self), e.Codec.PutReset(make([]byte, e.Codec.HeaderLength()), f, s.acked))
-	}
-	out.decide(d)
+	})
+	e.flows.Remove(f)
+}
+
+func (e *Entry) giveUp(now time.Time, f gue.Flow, k *entryFlow, left int, out *Output) {
+	out.decide(Decision{
+		Action: ActionUncertain, Flow: f, Reason: "unanswered", PlanVersion: e.plan.Version,
+		Count: left, AgeMs: now.Sub(k.search.started).Milliseconds(),
+	})
 	e.flows.Remove(f)
 }
 
@@ -137,20 +191,40 @@
 	}
 	k.last = now
 	e.setStage(k, l, stageIdle)
-	if k.search == nil {
+	s := k.search
+	if s == nil {
 		return
 	}
+	e.endSearch(f, k)
 	out.decide(Decision{
 		Action: ActionFound, Flow: f, Instance: l.host.Instance, PlanVersion: e.plan.Version,
-		Count: len(k.search.asked), AgeMs: now.Sub(k.search.started).Milliseconds(),
+		Count: len(s.denied), AgeMs: now.Sub(s.started).Milliseconds(),
 	})
-	for _, p := range k.search.held {
+	for i, p := range s.held {
 		if v, reason := e.Codec.Parse(p); reason == gue.ReasonNone {
 			e.observe(now, k, &v)
 		}
-		e.forward(l, p, Mark{}, out)
+		if i > 0 {
+			e.forward(l, p, Mark{}, out)
+		}
 	}
+}
+
+func (e *Entry) endSearch(f gue.Flow, k *entryFlow) {
 	k.search = nil
+	delete(e.searches, f)
+}
+
+// Search goes on with the searches under way. Call it every askAgain or so.
+func (e *Entry) Search(now time.Time, out *Output) {
+	for f, k := range e.searches {
+		route := e.plan.Find(f.Service)
+		if route == nil {
+			e.flows.Remove(f)
+			continue
+		}
+		e.progress(now, f, e.groupOf(f, route), k, out)
+	}
 }
 
 func contains(all []*hostLoad, l *hostLoad) bool {
--- a/kernel/flow/view.go
+++ b/kernel/flow/view.go
@@ -73,7 +73,8 @@
 // Mark travels with a packet between our instances.
 type Mark struct {
 	Code Code
-	// Value is a plan version in opening packets, and an entry's IPv4 address in packets given to a target.
+	// Value is a plan version in opening packets on their way to an agent, an entry's IPv4 address in packets given to
+	// a target, and the digest of the group that the agent knows where a packet comes back.
 	Value uint32
 }
 
--- a/kernel/plan/plan.go
+++ b/kernel/plan/plan.go
@@ -21,6 +21,8 @@
 	Address gue.Endpoint `json:"address"`
 	// Shares has one element unless the route is split.
 	Shares []Share `json:"shares"`
+	// Objective is the latency within which a request should be answered; 0 means none.
+	Objective time.Duration `json:"objective,omitempty"`
 }
 
 // Plan is one version of the operator's plan. It is immutable.
--- /dev/null
+++ b/kernel/plan/plan_test.go
@@ -0,0 +1,27 @@
+package plan
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
+)
+
+func TestSplitFollowsWeightsAndTheFlowAlone(t *testing.T) {
+	r := Route{Shares: []Share{{Service: "a", Weight: 3}, {Service: "b", Weight: 1}, {Service: "none"}}}
+	counts := map[string]int{}
+	const flows = 8000
+	for n := range flows {
+		f := gue.Flow{Caller: gue.Endpoint{Port: uint16(n)}}
+		require.Equal(t, r.ServiceOf(f), r.ServiceOf(f))
+		counts[r.ServiceOf(f)]++
+	}
+	require.Zero(t, counts["none"])
+	require.InDelta(t, 0.75, float64(counts["a"])/flows, 0.03)
+}
+
+func TestRouteWithoutServicesLeadsNowhere(t *testing.T) {
+	require.Empty(t, (&Route{}).ServiceOf(gue.Flow{}))
+	require.False(t, (&Route{}).Leads("a"))
+}
--- /dev/null
+++ b/rig/store/store_test.go
@@ -0,0 +1,124 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootline/coltsfootline/kernel/store"
+)
+
+func start(t *testing.T, handler http.Handler) *store.Client {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	c, err := store.NewClient(server.URL, store.DefaultDialect)
+	require.NoError(t, err)
+	return c
+}
+
+func spec(n int) json.RawMessage {
+	return json.RawMessage(fmt.Sprintf(`{"n":%d}`, n))
+}
+
+func TestObjectsLiveAndEnd(t *testing.T) {
+	ctx := context.Background()
+	c := start(t, (&Server{}).Handler())
+	made, err := c.Create(ctx, "k", "a", spec(1))
+	require.NoError(t, err)
+	var conflict *store.ConflictError
+	_, err = c.Create(ctx, "k", "a", spec(2))
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, made.Revision, conflict.Held.Revision)
+	changed, err := c.Replace(ctx, "k", "a", made.Revision, spec(2))
+	require.NoError(t, err)
+	require.Greater(t, changed.Revision, made.Revision)
+	_, err = c.Replace(ctx, "k", "a", made.Revision, spec(3))
+	require.ErrorAs(t, err, &conflict)
+	require.JSONEq(t, `{"n":2}`, string(conflict.Held.Spec))
+	got, err := c.Get(ctx, "k", "a")
+	require.NoError(t, err)
+	require.Equal(t, changed, got)
+	require.NoError(t, c.Delete(ctx, "k", "a", 0))
+	require.NoError(t, c.Delete(ctx, "k", "a", 0), "an absent object is no error")
+	var missing *store.NotFoundError
+	_, err = c.Get(ctx, "k", "a")
+	require.ErrorAs(t, err, &missing)
+}
+
+func TestUnchangedReplaceKeepsTheRevision(t *testing.T) {
+	ctx := context.Background()
+	c := start(t, (&Server{}).Handler())
+	first, err := c.Put(ctx, "k", "a", spec(1))
+	require.NoError(t, err)
+	second, err := c.Put(ctx, "k", "a", spec(1))
+	require.NoError(t, err)
+	require.Equal(t, first.Revision, second.Revision)
+}
+
+func TestListingFollowsPages(t *testing.T) {
+	ctx := context.Background()
+	c := start(t, (&Server{}).Handler())
+	for i := range pageLength + 20 {
+		_, err := c.Create(ctx, "k", fmt.Sprintf("o%04d", i), spec(i))
+		require.NoError(t, err)
+	}
+	p, err := c.List(ctx, "k")
+	require.NoError(t, err)
+	require.Len(t, p.Objects, pageLength+20)
+}
+
+func TestWatchSeesChangesAndTheirEnd(t *testing.T) {
+	ctx := context.Background()
+	server := &Server{}
+	c := start(t, server.Handler())
+	p, err := c.List(ctx, "k")
+	require.NoError(t, err)
+	_, err = c.Create(ctx, "k", "a", spec(1))
+	require.NoError(t, err)
+	require.NoError(t, c.Delete(ctx, "k", "a", 0))
+	seen, err := c.Watch(ctx, "k", p.Revision, time.Second)
+	require.NoError(t, err)
+	require.Len(t, seen.Objects, 2)
+	require.True(t, seen.Objects[1].Deleted)
+	quiet, err := c.Watch(ctx, "k", seen.Revision, 10*time.Millisecond)
+	require.NoError(t, err)
+	require.Empty(t, quiet.Objects)
+	server.Forget()
+	_, err = c.Create(ctx, "k", "b", spec(1))
+	require.NoError(t, err)
+	var expired *store.ExpiredError
+	_, err = c.Watch(ctx, "k", 0, time.Second)
+	require.ErrorAs(t, err, &expired)
+}
+
+func TestRefusedAndOddAnswersAreTyped(t *testing.T) {
+	for name, handler := range map[string]http.HandlerFunc{
+		"busy":    func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"many":    func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) },
+		"garbage": func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("\x00{")) },
+		"cut":     func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+	} {
+		c := start(t, handler)
+		_, err := c.List(context.Background(), "k")
+		var unavailable *store.UnavailableError
+		require.ErrorAs(t, err, &unavailable, name)
+	}
+}
+
+// A connection that went silent must not hold a call.
+func TestSilentStoreIsGivenUp(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	c := start(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	begin := time.Now()
+	_, err := c.Watch(context.Background(), "k", 1, 10*time.Millisecond)
+	require.True(t, errors.Is(err, context.DeadlineExceeded))
+	require.Less(t, time.Since(begin), 10*time.Second)
+}
--- a/test.sh
+++ b/test.sh
@@ -2,7 +2,7 @@
 # Checks format and lint, then runs every test. Go is all it needs.
 set -euo pipefail
 cd "$(dirname "$0")"
-modules="kernel entry agent coltsfootline rig"
+modules="kernel platform entry agent coltsfootline rig"
 export GOBIN="$PWD/.bin"
 golangci=2.15.0
 
