Stale packets are dropped after a freeze; weak answers don't hide a holder; silent hosts are left out

Ruled out: clock and plan after the freeze. Change: what waits in the socket after more than 400 ms of standstill is dropped; an opened flow is load for 50 ms unless its caller goes on; answers that only say 'not bounced' make the flow's packets go to all hosts that may hold it until one affirms; a host that ignored an opening packet is left out for 400 ms.

--- a/agent/cmd/carrier.go
+++ b/agent/cmd/carrier.go
@@ -261,6 +261,11 @@
 	a.recorder.Tick(now)
 }
 
+// Woke logs that packets of entries were dropped.
+func (s entrySide) Woke(_ time.Time, still time.Duration, dropped int) {
+	s.agent.recorder.Woke(still, dropped)
+}
+
 // targetSide takes packets from the target.
 type targetSide struct{ agent *carrierAgent }
 
@@ -272,6 +277,11 @@
 	a.step(now, func(out *flow.Output) { a.core.FromTarget(now, packet, out) })
 }
 
+// Woke logs that packets of the target were dropped.
+func (s targetSide) Woke(_ time.Time, still time.Duration, dropped int) {
+	s.agent.recorder.Woke(still, dropped)
+}
+
 // Tick does nothing: the other side sweeps.
 func (targetSide) Tick(time.Time) {}
 
--- a/entry/cmd/carrier.go
+++ b/entry/cmd/carrier.go
@@ -131,6 +131,11 @@
 	e.recorder.Tick(now)
 }
 
+// Woke drops what waited in the socket; it runs on the traffic thread.
+func (e *carrierEntry) Woke(_ time.Time, still time.Duration, dropped int) {
+	e.recorder.Woke(still, dropped)
+}
+
 func (e *carrierEntry) takeOver(now time.Time) {
 	u := usedState{directory: e.directory.Load(), plan: e.plan.Load()}
 	if u == e.used {
--- a/kernel/carrier/loop.go
+++ b/kernel/carrier/loop.go
@@ -25,10 +25,16 @@
 	socketBufferBytes = 1 << 20
 )
 
+// staleAfter is how long a loop may stand still before what waits in its socket is dropped: callers repeat their
+// packets after 200 ms, and flows opened by the old ones would only take room from live ones.
+const staleAfter = 400 * time.Millisecond
+
 // Stepper decides about what a loop reads. Its methods are called by the loop alone.
 type Stepper interface {
 	Packet(now time.Time, from netip.AddrPort, packet []byte)
 	Tick(now time.Time)
+	// Woke tells that the process stood still for a while and how many packets were dropped.
+	Woke(now time.Time, still time.Duration, dropped int)
 }
 
 // Loop reads packets from a socket, one after the other.
@@ -57,25 +63,52 @@
 
 func (l *Loop) run(ctx context.Context) {
 	buffer := make([]byte, bufferBytes)
-	next := time.Now()
+	last := time.Now()
+	next := last
 	for {
 		now := time.Now()
+		if still := stillFor(last, now); still > staleAfter {
+			l.Stepper.Woke(now, still, l.discard(buffer))
+		}
+		last = now
 		if !now.Before(next) {
 			l.Stepper.Tick(now)
 			next = now.Add(TickPeriod)
 			_ = l.Socket.SetReadDeadline(next)
 		}
 		n, from, err := l.Socket.ReadFromUDPAddrPort(buffer)
+		arrived := time.Now()
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, os.ErrDeadlineExceeded):
 		case err != nil:
 			events.PacketReadFailed.Log(l.Logger, events.Failure(err))
+		case stillFor(last, arrived) > staleAfter:
+			// The next round drops the rest.
 		default:
-			l.Stepper.Packet(time.Now(), netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n])
+			l.Stepper.Packet(arrived, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n])
+		}
+	}
+}
+
+// stillFor is the time between two moments. A suspended machine's steady clock stands still, but its time of day does not.
+func stillFor(last, now time.Time) time.Duration {
+	return max(now.Sub(last), now.Round(0).Sub(last.Round(0)))
+}
+
+// discard reads what waits in the socket and returns the number of packets.
+func (l *Loop) discard(buffer []byte) int {
+	dropped := 0
+	_ = l.Socket.SetReadDeadline(time.Now().Add(time.Millisecond))
+	for {
+		if _, _, err := l.Socket.ReadFromUDPAddrPort(buffer); err != nil {
+			break
 		}
+		dropped++
 	}
+	_ = l.Socket.SetReadDeadline(time.Now().Add(TickPeriod))
+	return dropped
 }
 
 // Deliver sends what a step decided and returns how many packets a socket did not take.
--- a/kernel/carrier/recorder.go
+++ b/kernel/carrier/recorder.go
@@ -63,6 +63,11 @@
 	}
 }
 
+// Woke logs that the process stood still.
+func (r *Recorder) Woke(still time.Duration, dropped int) {
+	events.Woke.Log(r.Logger, slog.Int64("ageMs", still.Milliseconds()), slog.Int("count", dropped))
+}
+
 // Tick logs how many records were left out since the last call.
 func (r *Recorder) Tick(now time.Time) {
 	for _, s := range r.limiter.Suppressed(now) {
--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -38,7 +38,7 @@
 
 // Start joins the others until ctx ends. Handlers are answered besides the node's own.
 func (n *Node) Start(ctx context.Context, handlers map[string]peer.Handler) error {
-	n.pool = &peer.Pool{}
+	n.pool = &peer.Pool{Logger: n.Logger}
 	n.Plans = &Plans{Store: n.Store, Format: n.Format, Pool: n.pool, Logger: n.Logger, OnPlan: n.OnPlan}
 	n.Spread = &peer.Spread{
 		Self:        n.Self,
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -20,6 +20,8 @@
 	SettingsReloaded    = define(123, "settingsReloaded", slog.LevelInfo, "settings file was read again")
 	SettingsRefused     = define(124, "settingsRefused", slog.LevelError, "changed settings file has faults; the settings in use stay")
 	ReadyChanged        = define(125, "readyChanged", slog.LevelInfo, "readiness changed")
+	Woke                = define(126, "woke", slog.LevelWarn, "process stood still for ageMs; count packets that waited were dropped")
+	PeerProtocol        = define(116, "peerProtocol", slog.LevelDebug, "control connection ended")
 	StoreUnavailable    = define(200, "storeUnavailable", slog.LevelWarn, "store call failed; the last accepted state stays in force")
 	StoreDocument       = define(201, "storeDocument", slog.LevelInfo, "document read from the store")
 	PlanTaken           = define(202, "planTaken", slog.LevelInfo, "a newer plan is in force here")
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -19,6 +19,9 @@
 	trustWithoutBeat = 1500 * time.Millisecond
 	// probeMark is the mark value of packets given to the target to learn whether it holds a flow.
 	probeMark = ^uint32(0)
+	// acceptTime is how long after its opening packet a caller's next one comes: several times the way to callers,
+	// about 3 ms, and back.
+	acceptTime = 50 * time.Millisecond
 	// bounceTime is how long a target takes to bounce a packet at most; one that does not bounce it knows the flow.
 	bounceTime = 60 * time.Millisecond
 	// finishedTimeout is how long a flow is remembered that ended at the target.
@@ -43,10 +46,18 @@
 	digest uint32
 	flows  *simplelru.LRU[gue.Flow, *agentFlow]
 	busy   int
+	// openings are the flows opened lately, oldest first.
+	openings []opening
 	// serviceTime averages the time from a request to the first octet of its answer.
 	serviceTime time.Duration
 }
 
+// opening is a flow whose opening packet the target got.
+type opening struct {
+	flow gue.Flow
+	at   time.Time
+}
+
 // agentFlow is what an agent saw of a flow.
 type agentFlow struct {
 	state agentState
@@ -163,9 +174,22 @@
 	k = &agentFlow{state: stateOpening, since: now, last: now}
 	a.flows.Add(f, k)
 	a.setBusy(k, true, now)
+	a.openings = append(a.openings, opening{flow: f, at: now})
 	a.deliver(from.Addr(), packet, out)
 }
 
+// expireOpenings stops counting flows as load whose caller does not go on: most were opened by packets that had
+// waited somewhere for long.
+func (a *Agent) expireOpenings(now time.Time) {
+	for len(a.openings) > 0 && now.Sub(a.openings[0].at) > acceptTime {
+		k, known := a.flows.Peek(a.openings[0].flow)
+		if known && k.state == stateOpening && now.Sub(k.since) > acceptTime {
+			a.setBusy(k, false, now)
+		}
+		a.openings = a.openings[1:]
+	}
+}
+
 // gate says why a new flow may not go to the target, or CodeNone.
 func (a *Agent) gate(now time.Time, f gue.Flow, v *View) (Code, string) {
 	switch {
@@ -186,13 +210,14 @@
 			return CodeRefused, "noRoute"
 		}
 	}
-	return a.admit(route, v)
+	return a.admit(now, route, v)
 }
 
 // admit gives a flow back that would have to wait: always unless the entry allows it, and then if it would wait
 // longer than its objective leaves time for. The last copy of an opening packet waits as long as the target lets it.
-func (a *Agent) admit(route *plan.Route, v *View) (Code, string) {
+func (a *Agent) admit(now time.Time, route *plan.Route, v *View) (Code, string) {
 	slots := max(a.target.Slots, 1)
+	a.expireOpenings(now)
 	switch {
 	case a.busy < slots:
 		return CodeNone, ""
@@ -228,7 +253,7 @@
 	a.observe(now, k, packet, v)
 	if v.Mark.Code == CodeLocate && known && k.state != stateUnknown {
 		k.asker = from.Addr()
-		a.tell(f, k, out)
+		a.tell(f, k, CodeHere, out)
 	}
 	a.deliver(from.Addr(), packet, out)
 }
@@ -315,11 +340,16 @@
 	case v.Length > 0 || v.Finish:
 		a.setBusy(k, false, now)
 	}
-	if !v.Accepting && !v.Reset && k.state == stateUnknown {
+	if v.Length > 0 && k.state <= stateOpening {
 		k.state = stateOpen
 	}
-	if k.asker.IsValid() && k.state == stateOpen {
-		a.tell(f, k, out)
+	if k.asker.IsValid() {
+		// An acknowledgement alone may be that of a flow that ended here.
+		code := CodeMaybe
+		if k.state == stateOpen {
+			code = CodeHere
+		}
+		a.tell(f, k, code, out)
 	}
 	if v.Finish {
 		k.state = stateClosed
@@ -328,10 +358,10 @@
 	out.send(callerAddress(f, a.Self), packet)
 }
 
-// tell answers the entry that asked about a flow that the target holds it. The answer is a header alone.
-func (a *Agent) tell(f gue.Flow, k *agentFlow, out *Output) {
+// tell answers the entry that asked about a flow. The answer is a header alone.
+func (a *Agent) tell(f gue.Flow, k *agentFlow, code Code, out *Output) {
 	answer := a.Codec.PutReset(make([]byte, a.Codec.HeaderLength()), gue.Flow{Caller: f.Service, Service: f.Caller}, 0)
-	a.Codec.SetMark(answer, Mark{Code: CodeHere})
+	a.Codec.SetMark(answer, Mark{Code: code, Value: a.digest})
 	out.send(netip.AddrPortFrom(k.asker, a.Self.Port()), answer)
 	k.asker = netip.Addr{}
 }
@@ -372,6 +402,9 @@
 		return
 	}
 	a.busy--
+	if k.state == stateOpening {
+		return
+	}
 	a.serviceTime += time.Duration(serviceTimeWeight * float64(now.Sub(k.since)-a.serviceTime))
 }
 
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -73,6 +73,8 @@
 	last       time.Time
 	acked      uint32
 	search     *search
+	// weak are the hosts that may hold the flow, when none is known to.
+	weak []*hostLoad
 }
 
 type stage uint8
@@ -175,6 +177,9 @@
 		k = &entryFlow{stage: stageIdle, since: now}
 		e.flows.Add(f, k)
 	}
+	if k.stage == stageOpening && v.Copy > k.copy {
+		k.holder.ignored(now, k.since)
+	}
 	k.last = now
 	k.copy, k.placements = v.Copy, 0
 	e.place(now, f, route, k, packet, v, out)
@@ -249,6 +254,11 @@
 		e.progress(now, f, e.groupOf(f, route), k, out)
 		return
 	}
+	if len(k.weak) > 0 {
+		e.observe(now, k, v)
+		e.spread(k, packet, out)
+		return
+	}
 	if k.holder == nil || k.holder.host == nil {
 		e.beginSearch(now, f, route, k, packet, v, out)
 		return
@@ -259,6 +269,9 @@
 
 // observe follows the requests of a flow from what its caller sends.
 func (e *Entry) observe(now time.Time, k *entryFlow, v *View) {
+	if k.stage == stageOpening {
+		k.holder.accepted = now
+	}
 	switch {
 	case v.Finish || v.Reset:
 		if k.stage == stageBusy || k.stage == stageOpening {
@@ -294,6 +307,8 @@
 	switch v.Mark.Code {
 	case CodeHere:
 		e.found(now, f, l, out)
+	case CodeMaybe:
+		e.perhaps(now, f, route, l, out)
 	case CodeNotHere:
 		e.notHere(now, f, route, l, packet, v, out)
 	case CodeBusy, CodeRefused, CodeFull:
--- a/kernel/flow/flow_test.go
+++ b/kernel/flow/flow_test.go
@@ -172,6 +172,67 @@
 	}
 }
 
+// A host that accepted a copy of the opening packet but not the flow says nothing about it after its agent restarted;
+// that must not hide the holder (batinah trouble-3 --seed 323218555298, FLOW).
+func TestHolderGoesBeforeHostsThatMayHoldTheFlow(t *testing.T) {
+	w := newWorld(t, 2, 2)
+	w.send(0, View{Source: caller(1), Opening: true})
+	w.send(0, View{Source: caller(1), Opening: true, Copy: 1})
+	w.send(0, View{Source: caller(1), Acknowledged: w.toCaller[0].Sequence + 1, Length: 1})
+	var holder, other *testHost
+	for _, h := range w.hosts {
+		if h.target.open[flowOf(1)] {
+			holder = h
+		} else {
+			other = h
+		}
+	}
+	w.startAgent(other)
+	w.startAgent(holder)
+	w.tellAgents()
+	finish := View{Source: caller(1), Acknowledged: holder.target.held[flowOf(1)] + 1, Finish: true}
+	w.lose = func(to netip.AddrPort, _ View) bool { return to == holder.member.Packets }
+	w.send(1, finish)
+	w.pass(bounceTime + time.Millisecond)
+	w.lose = nil
+	w.pass(askAgain)
+	w.pass(askAgain)
+	answered, reset := w.asks(1, 1, holder)
+	require.True(t, answered)
+	require.False(t, reset)
+}
+
+// Flows whose callers don't go on are no load: their opening packets had waited at a frozen entry (altiplano trouble-2).
+func TestAbandonedOpeningsAreNoLoad(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	for n := range 4 {
+		w.send(0, View{Source: caller(n), Opening: true})
+	}
+	require.Equal(t, 4, w.hosts[0].agent.Busy())
+	w.now = w.now.Add(acceptTime + time.Millisecond)
+	w.opens(0, 9)
+	require.Equal(t, 1, w.hosts[0].agent.Busy())
+}
+
+// A host that ignored an opening packet is left out until it accepts another.
+func TestSilentHostIsLeftOut(t *testing.T) {
+	w := newWorld(t, 1, 2)
+	dead := w.hosts[0]
+	w.lose = func(to netip.AddrPort, _ View) bool { return to == dead.member.Packets }
+	n := 0
+	for w.send(0, View{Source: caller(n), Opening: true}); len(w.toCaller) > n; {
+		n++
+		w.send(0, View{Source: caller(n), Opening: true})
+	}
+	w.pass(200 * time.Millisecond)
+	w.send(0, View{Source: caller(n), Opening: true, Copy: 1})
+	for m := range 5 {
+		before := len(w.toCaller)
+		w.send(0, View{Source: caller(200 + m), Opening: true})
+		require.Greater(t, len(w.toCaller), before)
+	}
+}
+
 func TestDrainingTargetTakesNoNewFlow(t *testing.T) {
 	w := newWorld(t, 1, 2)
 	var out Output
--- a/kernel/flow/load.go
+++ b/kernel/flow/load.go
@@ -15,6 +15,8 @@
 	busyPenalty = 40 * time.Millisecond
 	// refusedPenalty is how long a host that refuses flows is not chosen: membership tells within that time.
 	refusedPenalty = 500 * time.Millisecond
+	// ignoredPenalty is how long a host that ignored a flow is not chosen: membership marks a dead one down after 1.5 s.
+	ignoredPenalty = 400 * time.Millisecond
 	// candidates is how many hosts a flow may be placed on; a search asks these first.
 	candidates = 8
 )
@@ -28,6 +30,16 @@
 	serviceTime  time.Duration
 	busyUntil    time.Time
 	refusedUntil time.Time
+	// accepted is when the host last accepted a flow.
+	accepted time.Time
+}
+
+// ignored notes that an opening packet, sent to the host at since, had to be repeated. Unless the host accepted
+// another flow meanwhile it may be dead, and is left out for a while.
+func (l *hostLoad) ignored(now, since time.Time) {
+	if l.accepted.Before(since) {
+		l.refusedUntil = now.Add(ignoredPenalty)
+	}
 }
 
 func (l *hostLoad) served(d time.Duration) {
--- a/kernel/flow/probe.go
+++ b/kernel/flow/probe.go
@@ -39,6 +39,7 @@
 // a few times a second.
 func (a *Agent) Sweep(now time.Time, out *Output) {
 	a.prepare(now)
+	a.expireOpenings(now)
 	idle := defaultIdleTimeout
 	if a.plan != nil && a.plan.IdleTimeout > 0 {
 		idle = a.plan.IdleTimeout + idleMargin
@@ -47,12 +48,12 @@
 		k, _ := a.flows.Peek(f)
 		age := now.Sub(k.last)
 		if k.asker.IsValid() && now.Sub(k.asked) > bounceTime {
-			a.tell(f, k, out)
+			a.tell(f, k, CodeMaybe, out)
 		}
 		switch {
 		case age > idle, k.state == stateClosed && age > finishedTimeout, k.state == stateUnknown && age > finishedTimeout:
 			a.flows.Remove(f)
-		case k.busy && (age > busyTimeout || k.state == stateOpening && now.Sub(k.since) > openingTimeout):
+		case k.busy && age > busyTimeout:
 			a.setBusy(k, false, now)
 		}
 	}
--- a/kernel/flow/search.go
+++ b/kernel/flow/search.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
@@ -30,6 +31,8 @@
 	// wide says that all hosts are asked, not just those that the flow may have been placed on.
 	wide   bool
 	denied []*hostLoad
+	// maybe are the hosts that did not deny it but can't be sure.
+	maybe []*hostLoad
 	// held are the packets that wait, the first of which asks.
 	held  [][]byte
 	acked uint32
@@ -42,6 +45,10 @@
 	s.acked = v.Acknowledged
 }
 
+func (s *search) answered(l *hostLoad) bool {
+	return contains(s.denied, l) || contains(s.maybe, l)
+}
+
 // group is the hosts that may hold a flow of a route.
 type group struct {
 	hosts  []*Host
@@ -90,7 +97,7 @@
 		if !s.wide && i >= candidates {
 			break
 		}
-		if contains(s.denied, e.load(h.Instance)) {
+		if s.answered(e.load(h.Instance)) {
 			continue
 		}
 		p := append([]byte(nil), s.held[0]...)
@@ -110,6 +117,10 @@
 		k = &entryFlow{since: now, last: now}
 		e.flows.Add(f, k)
 	}
+	if len(k.weak) > 0 {
+		e.notWeak(now, f, route, k, l, packet, v, out)
+		return
+	}
 	if k.search == nil {
 		if k.holder != nil && k.holder != l {
 			// The search ended meanwhile; the holder has the packet unless it came from the cache alone.
@@ -125,18 +136,30 @@
 	e.progress(now, f, g, k, out)
 }
 
+// perhaps takes a host's word that it may hold a flow.
+func (e *Entry) perhaps(now time.Time, f gue.Flow, route *plan.Route, l *hostLoad, out *Output) {
+	k, known := e.flows.Get(f)
+	if !known || k.search == nil {
+		return
+	}
+	if !k.search.answered(l) {
+		k.search.maybe = append(k.search.maybe, l)
+	}
+	e.progress(now, f, e.groupOf(f, route), k, out)
+}
+
 // progress ends a search, widens it, or asks again.
 func (e *Entry) progress(now time.Time, f gue.Flow, g group, k *entryFlow, out *Output) {
 	s := k.search
 	if s.digest != g.digest {
 		// Denials of other incarnations, or among fewer hosts, say nothing.
-		s.digest, s.denied, s.wide = g.digest, nil, true
+		s.digest, s.denied, s.maybe, s.wide = g.digest, nil, nil, true
 		e.ask(now, f, g, k, out)
 		return
 	}
 	left, likely := 0, 0
 	for i, h := range g.hosts {
-		if contains(s.denied, e.load(h.Instance)) {
+		if s.answered(e.load(h.Instance)) {
 			continue
 		}
 		left++
@@ -145,6 +168,8 @@
 		}
 	}
 	switch {
+	case len(s.maybe) > 0 && (left == 0 || now.Sub(s.started) > 2*askAgain):
+		e.foundWeak(now, f, g, k, out)
 	case left == 0 && len(g.hosts) > 0 && now.Sub(e.settledAt(g.digest)) >= settleTime:
 		e.resetUnheld(now, f, k, out)
 	case now.Sub(s.started) > searchLimit:
@@ -191,6 +216,7 @@
 	}
 	k.last = now
 	e.setStage(k, l, stageIdle)
+	k.weak = nil
 	s := k.search
 	if s == nil {
 		return
@@ -210,6 +236,44 @@
 	}
 }
 
+// foundWeak ends a search in which hosts did not deny the flow but none affirmed it: its packets go to all of them until
+// one does.
+func (e *Entry) foundWeak(now time.Time, f gue.Flow, g group, k *entryFlow, out *Output) {
+	s := k.search
+	e.endSearch(f, k)
+	for _, h := range g.hosts {
+		if l := e.load(h.Instance); !contains(s.denied, l) {
+			k.weak = append(k.weak, l)
+		}
+	}
+	e.setStage(k, s.maybe[0], stageIdle)
+	out.decide(Decision{
+		Action: ActionFound, Flow: f, Instance: s.maybe[0].host.Instance, Reason: "perhaps", PlanVersion: e.plan.Version,
+		Count: len(k.weak), AgeMs: now.Sub(s.started).Milliseconds(),
+	})
+	for _, p := range s.held {
+		e.spread(k, p, out)
+	}
+}
+
+// spread sends a packet to every host that may hold its flow.
+func (e *Entry) spread(k *entryFlow, packet []byte, out *Output) {
+	e.Codec.SetMark(packet, Mark{Code: CodeLocate})
+	for _, l := range k.weak {
+		if l.host != nil {
+			out.send(l.host.Packets, packet)
+		}
+	}
+}
+
+// notWeak takes the denial of a host that might have held the flow.
+func (e *Entry) notWeak(now time.Time, f gue.Flow, route *plan.Route, k *entryFlow, l *hostLoad, packet []byte, v *View, out *Output) {
+	k.weak = slices.DeleteFunc(k.weak, func(w *hostLoad) bool { return w == l })
+	if len(k.weak) == 0 {
+		e.beginSearch(now, f, route, k, packet, v, out)
+	}
+}
+
 func (e *Entry) endSearch(f gue.Flow, k *entryFlow) {
 	k.search = nil
 	delete(e.searches, f)
--- a/kernel/flow/view.go
+++ b/kernel/flow/view.go
@@ -51,6 +51,8 @@
 	CodeNotHere
 	// CodeHere tells an entry that the target holds the flow.
 	CodeHere
+	// CodeMaybe tells an entry that the target did not bounce the flow's packet, so that it holds the flow or held it.
+	CodeMaybe
 	// CodeBusy returns an opening packet to its entry: the target has no free slot.
 	CodeBusy
 	// CodeRefused returns an opening packet to its entry: the target takes no new flows.
@@ -60,7 +62,7 @@
 	codeCount
 )
 
-var codeNames = [codeCount]string{"none", "locate", "force", "notHere", "here", "busy", "refused", "full"}
+var codeNames = [codeCount]string{"none", "locate", "force", "notHere", "here", "maybe", "busy", "refused", "full"}
 
 // String returns the camel-case name used in logs.
 func (c Code) String() string {
--- a/kernel/peer/client.go
+++ b/kernel/peer/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/netip"
 	"sync"
@@ -44,6 +45,8 @@
 type Pool struct {
 	// Routes are the peers that are not reached at their own addresses.
 	Routes []Route
+	// Logger takes what happens to connections; nil logs nothing.
+	Logger *slog.Logger
 
 	mutex   sync.Mutex
 	clients map[netip.AddrPort]*client
@@ -57,7 +60,7 @@
 // Call sends a request to a peer and decodes its result; errors are CallError.
 func (p *Pool) Call(ctx context.Context, to netip.AddrPort, method string, params, result any) error {
 	c := p.client(to)
-	conn, err := c.connect(ctx, p.via(to))
+	conn, err := c.connect(ctx, p, to)
 	if err != nil {
 		return errors.WithStack(&CallError{Peer: to, Method: method, Gone: errors.Is(err, syscall.ECONNREFUSED), Cause: err})
 	}
@@ -73,7 +76,7 @@
 // Notify sends a notification to a peer; errors are CallError.
 func (p *Pool) Notify(ctx context.Context, to netip.AddrPort, method string, params any) error {
 	c := p.client(to)
-	conn, err := c.connect(ctx, p.via(to))
+	conn, err := c.connect(ctx, p, to)
 	if err == nil {
 		err = conn.Notify(ctx, method, params)
 	}
@@ -116,7 +119,7 @@
 	return c
 }
 
-func (c *client) connect(ctx context.Context, to netip.AddrPort) (*jsonrpc2.Conn, error) {
+func (c *client) connect(ctx context.Context, p *Pool, to netip.AddrPort) (*jsonrpc2.Conn, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.conn != nil {
@@ -127,11 +130,11 @@
 		}
 	}
 	dialer := net.Dialer{Timeout: dialTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp4", to.String())
+	socket, err := dialer.DialContext(ctx, "tcp4", p.via(to).String())
 	if err != nil {
 		return nil, err
 	}
-	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(countedConn{socket}), noRequests{})
+	c.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), jsonrpc2.NewPlainObjectStream(countedConn{socket}), noRequests{}, jsonrpc2.SetLogger(protocolLogger{p.Logger}))
 	return c.conn, nil
 }
 
--- a/kernel/peer/server.go
+++ b/kernel/peer/server.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -58,14 +60,14 @@
 			}
 			return
 		}
-		conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(countedConn{socket}), jsonrpc2.AsyncHandler(s))
+		conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(countedConn{socket}), jsonrpc2.AsyncHandler(s), jsonrpc2.SetLogger(protocolLogger{s.Logger}))
 		context.AfterFunc(ctx, func() { _ = conn.Close() })
 	}
 }
 
 // Handle answers one request.
 func (s *Server) Handle(ctx context.Context, conn *jsonrpc2.Conn, r *jsonrpc2.Request) {
-	jsonrpc2.HandlerWithError(s.answer).Handle(ctx, conn, r)
+	jsonrpc2.HandlerWithError(s.answer).SuppressErrClosed().Handle(ctx, conn, r)
 }
 
 func (s *Server) answer(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
@@ -79,3 +81,13 @@
 	}
 	return h(ctx, params)
 }
+
+// protocolLogger takes what the JSON-RPC library says about a connection.
+type protocolLogger struct{ logger *slog.Logger }
+
+// Printf logs a line of the library's.
+func (l protocolLogger) Printf(format string, v ...any) {
+	if l.logger != nil {
+		events.PeerProtocol.Log(l.logger, slog.String("text", strings.TrimSpace(fmt.Sprintf(format, v...))))
+	}
+}
