Membership is compared by parts between few peers; few entries watch the plan

Ruled out: packets (0.02 GB). Change: an instance exchanges with three entries of its data centre and two others; sets are compared by 32 parts and only what differs is sent; silence is asked about suspects only; two entries a data centre watch the plan, the others take it from peers, and ask the store when no peer answers.

--- a/coltsfootline/cmd/commands_test.go
+++ b/coltsfootline/cmd/commands_test.go
@@ -44,8 +44,8 @@
 	}
 	reply := any(peer.StatusReply{Digest: 7, Open: 5, Busy: 2, Waiting: 1})
 	switch method {
-	case peer.MethodExchange:
-		reply = f.exchange()
+	case peer.MethodReconcile:
+		reply = f.reconcile()
 	case peer.MethodDrain:
 		reply = peer.DrainReply{Open: 5}
 	}
@@ -54,8 +54,8 @@
 	return json.Unmarshal(text, result)
 }
 
-func (f *fleet) exchange() peer.ExchangeReply {
-	var reply peer.ExchangeReply
+func (f *fleet) reconcile() peer.ReconcileReply {
+	var reply peer.ReconcileReply
 	for _, m := range f.members {
 		fact, err := m.Fact(1, 1)
 		require.NoError(f.t, err)
--- a/coltsfootline/cmd/root.go
+++ b/coltsfootline/cmd/root.go
@@ -74,8 +74,8 @@
 func members(ctx context.Context, c Caller, entry netip.AddrPort) ([]facts.Member, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var reply peer.ExchangeReply
-	if err := c.Call(ctx, entry, peer.MethodExchange, peer.ExchangeRequest{}, &reply); err != nil {
+	var reply peer.ReconcileReply
+	if err := c.Call(ctx, entry, peer.MethodReconcile, peer.ReconcileRequest{Parts: facts.AllParts()}, &reply); err != nil {
 		return nil, err
 	}
 	var all []facts.Member
--- a/kernel/control/plans.go
+++ b/kernel/control/plans.go
@@ -21,6 +21,8 @@
 const (
 	// watchWait is how long a watch waits: each watch is a priced call, and a silent one is noticed by peers' versions.
 	watchWait = 12 * time.Second
+	// watchCheck is how often an instance that does not watch looks whether it has to.
+	watchCheck = 100 * time.Millisecond
 	// freshWait bounds a read after word of a newer plan, within the second that a plan may take.
 	freshWait = time.Second
 	// gatherDelay gathers plans that follow each other quickly into one read.
@@ -44,6 +46,8 @@
 	Logger *slog.Logger
 	// OnPlan takes each newer plan.
 	OnPlan func(p *plan.Plan)
+	// Watches says whether this instance has to ask the store itself at now.
+	Watches func(now time.Time) bool
 
 	current atomic.Pointer[plan.Plan]
 	newer   chan offer
@@ -108,6 +112,11 @@
 	wait := pauser{}
 	revision := uint64(0)
 	for ctx.Err() == nil {
+		if !p.Watches(time.Now()) {
+			revision = 0
+			pauseWatch(ctx)
+			continue
+		}
 		next, err := p.follow(ctx, kind, revision)
 		p.link.saw(err)
 		var expired *store.ExpiredError
@@ -122,6 +131,11 @@
 	}
 }
 
+// pauseWatch waits before it is asked again whether this instance has to watch.
+func pauseWatch(ctx context.Context) {
+	wait(ctx, watchCheck)
+}
+
 func (p *Plans) follow(ctx context.Context, kind string, revision uint64) (uint64, error) {
 	var page store.Page
 	var err error
@@ -187,28 +201,32 @@
 	}
 }
 
+// fetch asks the peer that uses a newer plan for it, and the store if the peer fails.
 func (p *Plans) fetch(ctx context.Context, o offer) {
+	if p.ask(ctx, o) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, freshWait)
 	defer cancel()
 	kind, name := p.Format.Location()
 	object, err := p.Store.Get(ctx, kind, name)
-	if err == nil {
-		p.takeAll([]store.Object{object}, "storeAfterPeer")
+	if err != nil {
+		events.StoreUnavailable.Log(p.Logger, events.Failure(err), slog.Uint64("planVersion", o.version))
 		return
 	}
-	events.StoreUnavailable.Log(p.Logger, events.Failure(err), slog.Uint64("planVersion", o.version))
-	p.ask(o)
+	p.takeAll([]store.Object{object}, "storeAfterPeer")
 }
 
-// ask takes the plan from the peer itself.
-func (p *Plans) ask(o offer) {
-	ctx, cancel := context.WithTimeout(context.Background(), freshWait)
+// ask takes the plan from the peer and reports whether that is as new as the peer said.
+func (p *Plans) ask(ctx context.Context, o offer) bool {
+	ctx, cancel := context.WithTimeout(ctx, freshWait)
 	defer cancel()
 	var reply PlanReply
 	if err := p.Pool.Call(ctx, o.from, MethodPlan, PlanRequest{}, &reply); err != nil {
 		events.PeerFailed.Log(p.Logger, slog.String("peer", o.from.String()), events.Failure(err))
-		return
+		return false
 	}
 	reply.Plan.Index()
 	p.take(&reply.Plan, o.from.String(), 0)
+	return p.Version() >= o.version
 }
--- a/kernel/control/register.go
+++ b/kernel/control/register.go
@@ -39,6 +39,8 @@
 	changed chan struct{}
 	listed  chan struct{}
 	link    dependency
+	// exists says that the store held this instance's object.
+	exists bool
 }
 
 // Start writes the fact and reads the members until ctx ends.
@@ -108,7 +110,11 @@
 }
 
 func (r *Register) restoreOwn(f facts.Fact) {
-	if f.Name != r.Spread.Self.Instance || r.OnOwn == nil {
+	if f.Name != r.Spread.Self.Instance {
+		return
+	}
+	r.exists = true
+	if r.OnOwn == nil {
 		return
 	}
 	if m, err := facts.MemberOf(f); err == nil {
@@ -137,12 +143,19 @@
 		events.FactRefused.Log(r.Logger, events.Failure(err))
 		return true
 	}
-	_, err = r.Store.Put(ctx, KindInstances, f.Name, spec)
+	if r.exists {
+		_, err = r.Store.Put(ctx, KindInstances, f.Name, spec)
+	} else {
+		_, err = r.Store.Create(ctx, KindInstances, f.Name, spec)
+	}
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
+		// The answer to an earlier creation was lost.
+		r.exists = true
 		return false
 	}
 	r.link.saw(err)
+	r.exists = r.exists || err == nil
 	return err == nil
 }
 
--- a/kernel/facts/detector.go
+++ b/kernel/facts/detector.go
@@ -42,11 +42,23 @@
 	}
 }
 
-// Ages returns how long ago, in milliseconds, members spoke to this instance; silent ones are left out.
-func (d *Detector) Ages(now time.Time) map[string]int64 {
-	ages := make(map[string]int64, len(d.heard))
+// Suspects names the members that have been silent to this instance for half of SilenceTimeout.
+func (d *Detector) Suspects(now time.Time) []string {
+	var all []string
 	for instance, at := range d.heard {
-		if age := now.Sub(at); age < SilenceTimeout {
+		if now.Sub(at) >= SilenceTimeout/2 {
+			all = append(all, instance)
+		}
+	}
+	return all
+}
+
+// Ages returns how long ago, in milliseconds, some members spoke to this instance; silent ones are left out.
+func (d *Detector) Ages(instances []string, now time.Time) map[string]int64 {
+	ages := make(map[string]int64, len(instances))
+	for _, instance := range instances {
+		at, ok := d.heard[instance]
+		if age := now.Sub(at); ok && age < SilenceTimeout {
 			ages[instance] = age.Milliseconds()
 		}
 	}
--- a/kernel/facts/fact.go
+++ b/kernel/facts/fact.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -56,10 +57,36 @@
 	return d.Sum64()
 }
 
+// Parts is how many parts a set is compared by: a difference costs the versions of one part's facts, not of all.
+const Parts = 32
+
+// AllParts names every part.
+func AllParts() []int {
+	all := make([]int, Parts)
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
 // Set holds one fact a key. The zero value is an empty set.
 type Set struct {
-	facts  map[Key]Fact
-	digest uint64
+	facts map[Key]Fact
+	parts [Parts]uint64
+}
+
+// Versions names a fact without its body.
+type Versions struct {
+	Key
+	Incarnation uint64 `json:"incarnation"`
+	Version     uint64 `json:"version"`
+	// Body is the digest of the fact's body, which decides between equal versions.
+	Body uint64 `json:"body"`
+}
+
+// PartOf is the part that a key belongs to.
+func PartOf(k Key) int {
+	return int(xxhash.Sum64String(string(k.Kind)+"\x00"+k.Name) % Parts)
 }
 
 // Merge keeps f if it supersedes what is held and reports whether it did.
@@ -71,10 +98,11 @@
 	if ok && !f.Supersedes(held) {
 		return false
 	}
+	part := PartOf(f.Key)
 	if ok {
-		s.digest ^= held.digest()
+		s.parts[part] ^= held.digest()
 	}
-	s.digest ^= f.digest()
+	s.parts[part] ^= f.digest()
 	s.facts[f.Key] = f
 	return true
 }
@@ -98,7 +126,68 @@
 
 // Digest is equal for equal sets, whatever the order of merges.
 func (s *Set) Digest() uint64 {
-	return s.digest
+	var digest uint64
+	for _, p := range s.parts {
+		digest ^= p
+	}
+	return digest
+}
+
+// PartDigests are the digests of the parts.
+func (s *Set) PartDigests() []uint64 {
+	return append([]uint64(nil), s.parts[:]...)
+}
+
+// Differing returns the parts whose digests are not as given.
+func (s *Set) Differing(digests []uint64) []int {
+	var parts []int
+	for i, d := range digests {
+		if i < Parts && s.parts[i] != d {
+			parts = append(parts, i)
+		}
+	}
+	return parts
+}
+
+// VersionsOf names the facts of some parts.
+func (s *Set) VersionsOf(parts []int) []Versions {
+	var all []Versions
+	for k, f := range s.facts {
+		if slices.Contains(parts, PartOf(k)) {
+			all = append(all, Versions{Key: k, Incarnation: f.Incarnation, Version: f.Version, Body: xxhash.Sum64String(f.Body)})
+		}
+	}
+	return all
+}
+
+// Compare returns the facts of some parts that another set lacks or holds in other versions, and the keys that it
+// holds and this set does not, or not alike.
+func (s *Set) Compare(parts []int, others []Versions) (facts []Fact, wanted []Key) {
+	theirs := make(map[Key]Versions, len(others))
+	for _, v := range others {
+		theirs[v.Key] = v
+		held, ok := s.facts[v.Key]
+		if !ok || held.Incarnation != v.Incarnation || held.Version != v.Version || xxhash.Sum64String(held.Body) != v.Body {
+			wanted = append(wanted, v.Key)
+		}
+	}
+	for k, f := range s.facts {
+		if !slices.Contains(parts, PartOf(k)) {
+			continue
+		}
+		v, ok := theirs[k]
+		if !ok || slices.Contains(wanted, k) && !older(f, v) {
+			facts = append(facts, f)
+		}
+	}
+	return facts, wanted
+}
+
+func older(f Fact, v Versions) bool {
+	if f.Incarnation != v.Incarnation {
+		return f.Incarnation < v.Incarnation
+	}
+	return f.Version < v.Version
 }
 
 // All returns the facts ordered by key.
--- a/kernel/peer/choose.go
+++ b/kernel/peer/choose.go
@@ -10,27 +10,36 @@
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
 )
 
-// entriesPerAgent is how many entries an agent exchanges with.
-const entriesPerAgent = 3
+const (
+	// nearPeers is how many entries of its own data centre an instance exchanges with, and farPeers how many of
+	// others: enough that an instance or a data centre lost leaves the rest joined, and no more with a greater fleet.
+	nearPeers = 3
+	farPeers  = 2
+)
 
-// ChoosePeers returns the control addresses of the entries that an instance exchanges with: for an entry all
-// others, for an agent a few by rendezvous hashing, those of its own data centre first. Seeds count as entries
-// unless a member with their address is down or has left.
+// ChoosePeers returns the control addresses of the entries that an instance exchanges with: a few of its own data
+// centre and a few others, by rendezvous hashing. An agent goes to another data centre only if its own has too few.
+// Seeds count as entries unless a member with their address is down or has left.
 func ChoosePeers(self facts.Member, seeds []netip.AddrPort, members []facts.Member) []netip.AddrPort {
 	candidates := entryCandidates(self, seeds, members)
-	if self.Role != facts.RoleAgent || len(candidates) <= entriesPerAgent {
-		return addressesOf(candidates)
-	}
-	slices.SortFunc(candidates, func(a, b facts.Member) int {
-		if (a.DataCentre == self.DataCentre) != (b.DataCentre == self.DataCentre) {
-			if a.DataCentre == self.DataCentre {
-				return -1
-			}
-			return 1
+	slices.SortFunc(candidates, func(a, b facts.Member) int { return cmp.Compare(score(self, b), score(self, a)) })
+	var near, far []facts.Member
+	for _, c := range candidates {
+		if c.DataCentre == self.DataCentre {
+			near = append(near, c)
+		} else {
+			far = append(far, c)
 		}
-		return cmp.Compare(score(self, b), score(self, a))
-	})
-	return addressesOf(candidates[:entriesPerAgent])
+	}
+	near = near[:min(len(near), nearPeers)]
+	wanted := farPeers
+	if self.Role == facts.RoleAgent {
+		wanted = max(nearPeers-len(near), 0)
+	} else if len(near) < nearPeers {
+		wanted = nearPeers + farPeers - len(near)
+	}
+	far = far[:min(len(far), wanted)]
+	return addressesOf(append(near, far...))
 }
 
 func entryCandidates(self facts.Member, seeds []netip.AddrPort, members []facts.Member) []facts.Member {
--- a/kernel/peer/link.go
+++ b/kernel/peer/link.go
@@ -17,6 +17,7 @@
 
 	mutex    sync.Mutex
 	pending  map[facts.Key]facts.Fact
+	tell     bool
 	exchange *ExchangeRequest
 }
 
@@ -29,6 +30,7 @@
 	for _, f := range all {
 		l.pending[f.Key] = f
 	}
+	l.tell = true
 	l.mutex.Unlock()
 	l.signal()
 }
@@ -58,53 +60,82 @@
 	}
 }
 
-func (l *link) take() ([]facts.Fact, *ExchangeRequest) {
+func (l *link) take() (all []facts.Fact, tell bool, r *ExchangeRequest) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	all := make([]facts.Fact, 0, len(l.pending))
 	for _, f := range l.pending {
 		all = append(all, f)
 	}
 	clear(l.pending)
-	r := l.exchange
-	l.exchange = nil
-	return all, r
+	tell, r = l.tell, l.exchange
+	l.tell, l.exchange = false, nil
+	return all, tell, r
 }
 
 // flush drops what can't be sent: the next exchange finds the difference.
 func (l *link) flush(ctx context.Context) {
-	pending, request := l.take()
+	pending, tell, request := l.take()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	if len(pending) > 0 {
-		var reply SpreadReply
-		_ = l.owner.Pool.Call(ctx, l.to, MethodSpread, SpreadRequest{Facts: pending}, &reply)
+	if tell {
+		l.spread(ctx, pending)
 	}
 	if request != nil {
 		l.compare(ctx, *request)
 	}
 }
 
+func (l *link) spread(ctx context.Context, all []facts.Fact) {
+	request := SpreadRequest{Facts: all, From: l.owner.Self.Control}
+	if l.owner.Plan != nil {
+		request.PlanVersion = l.owner.Plan.Version()
+	}
+	var reply SpreadReply
+	l.owner.saw(l.to, l.owner.Pool.Call(ctx, l.to, MethodSpread, request, &reply))
+}
+
 func (l *link) compare(ctx context.Context, request ExchangeRequest) {
 	var reply ExchangeReply
-	if err := l.owner.Pool.Call(ctx, l.to, MethodExchange, request, &reply); err != nil {
+	err := l.owner.Pool.Call(ctx, l.to, MethodExchange, request, &reply)
+	l.owner.saw(l.to, err)
+	if err != nil {
 		return
 	}
-	if l.owner.Plan != nil {
-		l.owner.Do(ctx, func(time.Time) { l.owner.Plan.Heard(reply.PlanVersion, l.to) })
+	var parts []int
+	var versions []facts.Versions
+	l.owner.Do(ctx, func(now time.Time) {
+		l.owner.detector.HeardByOther(reply.HeardMs, now)
+		if l.owner.Plan != nil {
+			l.owner.Plan.Heard(reply.PlanVersion, l.to)
+		}
+		if reply.Digest != l.owner.set.Digest() {
+			parts = l.owner.set.Differing(reply.Parts)
+			versions = l.owner.set.VersionsOf(parts)
+		}
+	})
+	if len(parts) > 0 {
+		l.reconcile(ctx, ReconcileRequest{Parts: parts, Versions: versions})
 	}
-	if reply.Digest == request.Digest {
+}
+
+// reconcile makes both sets alike in the parts that differ.
+func (l *link) reconcile(ctx context.Context, request ReconcileRequest) {
+	var reply ReconcileReply
+	err := l.owner.Pool.Call(ctx, l.to, MethodReconcile, request, &reply)
+	l.owner.saw(l.to, err)
+	if err != nil {
 		return
 	}
 	var mine []facts.Fact
 	l.owner.Do(ctx, func(now time.Time) {
-		l.owner.Accept(now, reply.Facts)
-		if l.owner.set.Digest() != reply.Digest {
-			mine = l.owner.set.All()
+		for _, k := range reply.Wanted {
+			if f, ok := l.owner.set.Get(k); ok {
+				mine = append(mine, f)
+			}
 		}
+		l.owner.Accept(now, reply.Facts)
 	})
 	if len(mine) > 0 {
-		var done SpreadReply
-		_ = l.owner.Pool.Call(ctx, l.to, MethodSpread, SpreadRequest{Facts: mine}, &done)
+		l.spread(ctx, mine)
 	}
 }
--- a/kernel/peer/spread.go
+++ b/kernel/peer/spread.go
@@ -15,8 +15,9 @@
 
 // The methods of Spread.
 const (
-	MethodExchange = "peer.exchange"
-	MethodSpread   = "peer.spread"
+	MethodExchange  = "peer.exchange"
+	MethodReconcile = "peer.reconcile"
+	MethodSpread    = "peer.spread"
 )
 
 const (
@@ -26,25 +27,40 @@
 	taskQueueLength = 256
 )
 
-// ExchangeRequest compares sets: the digest of the sender's set, and how long ago it heard members.
+// ExchangeRequest compares sets: the digest of the sender's set, and the members it has not heard lately.
 type ExchangeRequest struct {
-	Instance string           `json:"instance"`
-	Digest   uint64           `json:"digest"`
-	HeardMs  map[string]int64 `json:"heardMs,omitempty"`
+	Instance string   `json:"instance"`
+	Digest   uint64   `json:"digest"`
+	Suspects []string `json:"suspects,omitempty"`
 	// PlanVersion is the plan that the sender uses.
 	PlanVersion uint64 `json:"planVersion,omitempty"`
 }
 
-// ExchangeReply carries the responder's facts when the digests differ.
+// ExchangeReply tells how long ago the responder heard the suspects, and its parts' digests when the sets differ.
 type ExchangeReply struct {
-	Digest      uint64       `json:"digest"`
-	Facts       []facts.Fact `json:"facts,omitempty"`
-	PlanVersion uint64       `json:"planVersion,omitempty"`
+	Digest      uint64           `json:"digest"`
+	Parts       []uint64         `json:"parts,omitempty"`
+	HeardMs     map[string]int64 `json:"heardMs,omitempty"`
+	PlanVersion uint64           `json:"planVersion,omitempty"`
 }
 
-// SpreadRequest carries facts that the sender accepted.
+// ReconcileRequest names the sender's facts in the parts that differ.
+type ReconcileRequest struct {
+	Parts    []int            `json:"parts"`
+	Versions []facts.Versions `json:"versions,omitempty"`
+}
+
+// ReconcileReply carries the facts that the sender lacks and names those that the responder lacks.
+type ReconcileReply struct {
+	Facts  []facts.Fact `json:"facts,omitempty"`
+	Wanted []facts.Key  `json:"wanted,omitempty"`
+}
+
+// SpreadRequest carries facts that the sender accepted, and the plan that it uses.
 type SpreadRequest struct {
-	Facts []facts.Fact `json:"facts"`
+	Facts       []facts.Fact   `json:"facts,omitempty"`
+	PlanVersion uint64         `json:"planVersion,omitempty"`
+	From        netip.AddrPort `json:"from"`
 }
 
 // SpreadReply acknowledges a SpreadRequest.
@@ -86,13 +102,32 @@
 	tasks    chan func(now time.Time)
 	links    map[netip.AddrPort]*link
 	view     atomic.Pointer[View]
+	// answered is when a peer last answered, in Unix nanoseconds.
+	answered atomic.Int64
+}
+
+// saw notes how a call to a peer ended.
+func (s *Spread) saw(_ netip.AddrPort, err error) {
+	if err == nil {
+		s.answered.Store(time.Now().UnixNano())
+	}
+}
+
+// Answered is when a peer last answered; the zero time is never.
+func (s *Spread) Answered() time.Time {
+	at := s.answered.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, at)
 }
 
 // Handlers returns the methods that Spread answers.
 func (s *Spread) Handlers() map[string]Handler {
 	return map[string]Handler{
-		MethodExchange: Handle(s.exchange),
-		MethodSpread:   Handle(s.spread),
+		MethodExchange:  Handle(s.exchange),
+		MethodReconcile: Handle(s.reconcile),
+		MethodSpread:    Handle(s.spread),
 	}
 }
 
@@ -203,7 +238,7 @@
 		r.PlanVersion = s.Plan.Version()
 	}
 	if s.Detect {
-		r.HeardMs = s.detector.Ages(now)
+		r.Suspects = s.detector.Suspects(now)
 	}
 	return r
 }
@@ -317,15 +352,15 @@
 	var reply ExchangeReply
 	ok := s.Do(ctx, func(now time.Time) {
 		s.detector.Heard(r.Instance, now)
-		s.detector.HeardByOther(r.HeardMs, now)
 		s.openLink(ctx, r.Instance)
+		reply.HeardMs = s.detector.Ages(r.Suspects, now)
 		if s.Plan != nil {
 			reply.PlanVersion = s.Plan.Version()
 			s.hearPlan(r.Instance, r.PlanVersion)
 		}
 		reply.Digest = s.set.Digest()
 		if reply.Digest != r.Digest {
-			reply.Facts = s.set.All()
+			reply.Parts = s.set.PartDigests()
 		}
 	})
 	if !ok {
@@ -334,6 +369,14 @@
 	return reply, nil
 }
 
+func (s *Spread) reconcile(ctx context.Context, r ReconcileRequest) (ReconcileReply, error) {
+	var reply ReconcileReply
+	if !s.Do(ctx, func(time.Time) { reply.Facts, reply.Wanted = s.set.Compare(r.Parts, r.Versions) }) {
+		return reply, ctx.Err()
+	}
+	return reply, nil
+}
+
 func (s *Spread) hearPlan(instance string, version uint64) {
 	for _, m := range s.view.Load().Members {
 		if m.Instance == instance {
@@ -353,8 +396,19 @@
 }
 
 func (s *Spread) spread(ctx context.Context, r SpreadRequest) (SpreadReply, error) {
-	if !s.Do(ctx, func(now time.Time) { s.Accept(now, r.Facts) }) {
+	ok := s.Do(ctx, func(now time.Time) {
+		if s.Plan != nil && r.From.IsValid() {
+			s.Plan.Heard(r.PlanVersion, r.From)
+		}
+		s.Accept(now, r.Facts)
+	})
+	if !ok {
 		return SpreadReply{}, ctx.Err()
 	}
 	return SpreadReply{}, nil
 }
+
+// TellPlan tells the peers of a plan that this instance took. Call it on the control thread.
+func (s *Spread) TellPlan() {
+	s.passOn(nil)
+}
