--- a/kernel/placement/flow.go
+++ b/kernel/placement/flow.go
@@ -52,7 +52,7 @@
 	defaultServiceTime = 30 * time.Millisecond
 	// farCost is what another data centre costs, as time: bytes between data centres are priced, and a request
 	// takes longer by the way there and back.
-	farCost = 4 * time.Millisecond
+	farCost = 15 * time.Millisecond
 	// busyCost is what a host costs that has no free slot, as time: about one request's work.
 	busyCost = 60 * time.Millisecond
 )
