Only the peers that a member chooses judge its silence

Ruled out: processor time (0.16 cores at most), links. Change: an entry expects word of just those members whose choice of peers, by its own view, names it; an entry that peers answer believes any silence; searches back off by doubling; four hosts are asked for a free slot before one is asked to let a flow wait. The view decodes only facts that changed.

--- a/kernel/control/register.go
+++ b/kernel/control/register.go
@@ -106,7 +106,7 @@
 		r.restoreOwn(f)
 	}
 	events.MembersRead.Log(r.Logger, slog.Int("members", len(all)), slog.Uint64("revision", page.Revision))
-	return r.Spread.Do(ctx, func(now time.Time) { r.Spread.Restore(now, all) })
+	return r.Spread.Do(ctx, func(now time.Time) { r.Spread.Accept(now, all) })
 }
 
 func (r *Register) restoreOwn(f facts.Fact) {
--- a/kernel/facts/detector.go
+++ b/kernel/facts/detector.go
@@ -65,13 +65,32 @@
 	return ages
 }
 
-// Silent returns facts that mark down each member heard before and silent for SilenceTimeout everywhere.
-func (d *Detector) Silent(now time.Time, s *Set) []Fact {
+// Expect names the members that should speak to this instance. Others are forgotten, and those that are new get a
+// whole timeout.
+func (d *Detector) Expect(instances map[string]bool, now time.Time) {
+	if d.heard == nil {
+		d.heard = make(map[string]time.Time)
+	}
+	for instance := range d.heard {
+		if !instances[instance] {
+			delete(d.heard, instance)
+		}
+	}
+	for instance := range instances {
+		if _, ok := d.heard[instance]; !ok {
+			d.heard[instance] = now
+		}
+	}
+}
+
+// Silent returns facts that mark down each member that was silent for SilenceTimeout everywhere. An instance that is
+// not joined to the others believes no silence of the greater part of its members.
+func (d *Detector) Silent(now time.Time, s *Set, joined bool) []Fact {
 	if d.pausedUntil(now) {
 		return nil
 	}
 	silent := d.silent(now)
-	if 2*len(silent) > len(d.heard) {
+	if !joined && 2*len(silent) > len(d.heard) {
 		return nil
 	}
 	var down []Fact
--- a/kernel/facts/fact_test.go
+++ b/kernel/facts/fact_test.go
@@ -1,6 +1,7 @@
 package facts
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -63,7 +64,7 @@
 	var down []Fact
 	for i := range 5 {
 		d.Heard("b", begin.Add(time.Duration(i)*step))
-		down = append(down, d.Silent(begin.Add(time.Duration(i)*step), &s)...)
+		down = append(down, d.Silent(begin.Add(time.Duration(i)*step), &s, false)...)
 	}
 	require.Len(t, down, 1)
 	m, err := MemberOf(down[0])
@@ -81,7 +82,7 @@
 	for i := range 20 {
 		now := begin.Add(time.Duration(i) * SilenceTimeout / 4)
 		d.HeardByOther(map[string]int64{"a": 10}, now)
-		require.Empty(t, d.Silent(now, &s))
+		require.Empty(t, d.Silent(now, &s, false))
 	}
 }
 
@@ -92,8 +93,8 @@
 	member(t, &s, "a")
 	begin := time.Unix(1000, 0)
 	d.Heard("a", begin)
-	require.Empty(t, d.Silent(begin, &s))
-	require.Empty(t, d.Silent(begin.Add(10*SilenceTimeout), &s))
+	require.Empty(t, d.Silent(begin, &s, false))
+	require.Empty(t, d.Silent(begin.Add(10*SilenceTimeout), &s, false))
 }
 
 // TestCutOffInstanceMarksNobodyDown checks that losing most members at once is taken for an own fault.
@@ -108,6 +109,66 @@
 	for i := range 10 {
 		now := begin.Add(time.Duration(i) * SilenceTimeout / 4)
 		d.Heard("a", now)
-		require.Empty(t, d.Silent(now, &s))
+		require.Empty(t, d.Silent(now, &s, false))
 	}
 }
+
+func TestJoinedInstanceBelievesThatManyAreSilent(t *testing.T) {
+	var s Set
+	var d Detector
+	now := time.Unix(100, 0)
+	expected := map[string]bool{}
+	for _, name := range []string{"a", "b", "c"} {
+		member(t, &s, name)
+		expected[name] = true
+	}
+	d.Expect(expected, now)
+	for range 20 {
+		now = now.Add(SilenceTimeout / 10)
+		d.Heard("c", now)
+		require.Empty(t, d.Silent(now, &s, false))
+	}
+	require.Len(t, d.Silent(now, &s, true), 2)
+}
+
+// A member that chose other peers must not be marked down by the one that it left.
+func TestUnexpectedMemberIsForgotten(t *testing.T) {
+	var s Set
+	var d Detector
+	now := time.Unix(100, 0)
+	d.Expect(map[string]bool{"a": true}, now)
+	d.Expect(map[string]bool{"b": true}, now)
+	require.Equal(t, []string{"b"}, d.Suspects(now.Add(SilenceTimeout)))
+	require.Empty(t, d.Silent(now, &s, true))
+	require.False(t, d.Hears("a"))
+}
+
+func TestSetsMeetByTheirDifferingParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var a, b Set
+		for i := range rapid.IntRange(0, 60).Draw(t, "facts") {
+			f := Fact{Key: Key{Kind: KindMember, Name: strconv.Itoa(i)}, Version: rapid.Uint64Range(0, 2).Draw(t, "va"), Body: "x"}
+			g := f
+			g.Version = rapid.Uint64Range(0, 2).Draw(t, "vb")
+			g.Body = rapid.SampledFrom([]string{"x", "y"}).Draw(t, "body")
+			if rapid.Bool().Draw(t, "inA") {
+				a.Merge(f)
+			}
+			if rapid.Bool().Draw(t, "inB") {
+				b.Merge(g)
+			}
+		}
+		parts := a.Differing(b.PartDigests())
+		sent, wanted := b.Compare(parts, a.VersionsOf(parts))
+		var mine []Fact
+		for _, k := range wanted {
+			f, ok := a.Get(k)
+			require.True(t, ok)
+			mine = append(mine, f)
+		}
+		a.MergeAll(sent)
+		b.MergeAll(mine)
+		require.Equal(t, a.Digest(), b.Digest())
+		require.Equal(t, a.All(), b.All())
+	})
+}
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -18,9 +18,9 @@
 	// maxTried is how many hosts are remembered that an opening packet or a copy of it went to.
 	maxTried = 8
 	// maxPlacements is how often one copy of an opening packet is sent to hosts: each takes about a millisecond.
-	maxPlacements = 6
+	maxPlacements = 8
 	// freeTries is how many hosts are asked for a free slot before one is asked to let the flow wait for a slot.
-	freeTries = 2
+	freeTries = 4
 	// lastCopy is the count of the last copy that a caller sends of an opening packet.
 	lastCopy = 2
 	// openingTimeout is how long a placed flow counts as load without a packet from its caller: callers give an
--- a/kernel/flow/search.go
+++ b/kernel/flow/search.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// askAgain is how long a search waits for an answer before it asks again: a datagram may be lost, and an agent
-	// may just be starting.
+	// askAgain is how long a search waits for an answer before it asks again, and doubles with each time: a datagram
+	// may be lost, and an agent may just be starting.
 	askAgain = 100 * time.Millisecond
 	// searchLimit is how long a search lasts. Ends repeat a packet after 200 ms to 1.6 s, which begins another.
 	searchLimit = 3 * time.Second
@@ -27,6 +27,7 @@
 type search struct {
 	started time.Time
 	asked   time.Time
+	rounds  int
 	digest  uint64
 	// wide says that all hosts are asked, not just those that the flow may have been placed on.
 	wide   bool
@@ -92,6 +93,7 @@
 func (e *Entry) ask(now time.Time, f gue.Flow, g group, k *entryFlow, out *Output) {
 	s := k.search
 	s.asked = now
+	s.rounds++
 	asked := 0
 	for i, h := range g.hosts {
 		if !s.wide && i >= candidates {
@@ -157,16 +159,7 @@
 		e.ask(now, f, g, k, out)
 		return
 	}
-	left, likely := 0, 0
-	for i, h := range g.hosts {
-		if s.answered(e.load(h.Instance)) {
-			continue
-		}
-		left++
-		if i < candidates {
-			likely++
-		}
-	}
+	left, likely := e.unanswered(g, s)
 	switch {
 	case len(s.maybe) > 0 && (left == 0 || now.Sub(s.started) > 2*askAgain):
 		e.foundWeak(now, f, g, k, out)
@@ -174,12 +167,26 @@
 		e.resetUnheld(now, f, k, out)
 	case now.Sub(s.started) > searchLimit:
 		e.giveUp(now, f, k, left, out)
-	case left > 0 && (likely == 0 && !s.wide || now.Sub(s.asked) >= askAgain):
+	case left > 0 && (likely == 0 && !s.wide || now.Sub(s.asked) >= askAgain<<(s.rounds-1)):
 		s.wide = true
 		e.ask(now, f, g, k, out)
 	}
 }
 
+// unanswered counts the hosts that did not answer, and the likely ones among them.
+func (e *Entry) unanswered(g group, s *search) (left, likely int) {
+	for i, h := range g.hosts {
+		if s.answered(e.load(h.Instance)) {
+			continue
+		}
+		left++
+		if i < candidates {
+			likely++
+		}
+	}
+	return left, likely
+}
+
 // settledAt is when the group became as it is.
 func (e *Entry) settledAt(digest uint64) time.Time {
 	if at, known := e.settled[digest]; known {
--- a/kernel/peer/spread.go
+++ b/kernel/peer/spread.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -98,6 +100,9 @@
 
 	set      facts.Set
 	version  uint64
+	members  map[string]facts.Member
+	// expected are the members that choose this instance as a peer.
+	expected map[string]bool
 	detector facts.Detector
 	tasks    chan func(now time.Time)
 	links    map[netip.AddrPort]*link
@@ -181,17 +186,6 @@
 	return s.set.Get(facts.Key{Kind: facts.KindMember, Name: s.Self.Instance})
 }
 
-// Restore merges facts that were kept elsewhere. Members among them count as heard at now, so that those which
-// are gone fall silent. Call it on the control thread.
-func (s *Spread) Restore(now time.Time, all []facts.Fact) {
-	for _, f := range all {
-		if f.Kind == facts.KindMember && f.Name != s.Self.Instance && !s.detector.Hears(f.Name) {
-			s.detector.Heard(f.Name, now)
-		}
-	}
-	s.Accept(now, all)
-}
-
 // Accept merges facts and passes on those that were new. Call it on the control thread.
 func (s *Spread) Accept(now time.Time, all []facts.Fact) {
 	kept := s.set.MergeAll(all)
@@ -199,7 +193,7 @@
 		return
 	}
 	s.refute(now, kept)
-	s.publish(now)
+	s.publish(now, kept)
 	s.passOn(kept)
 }
 
@@ -244,7 +238,9 @@
 }
 
 func (s *Spread) markSilent(now time.Time) {
-	for _, f := range s.detector.Silent(now, &s.set) {
+	s.detector.Expect(s.expected, now)
+	joined := now.Sub(s.Answered()) < facts.SilenceTimeout/2
+	for _, f := range s.detector.Silent(now, &s.set, joined) {
 		events.MemberSilent.Log(s.Logger, slog.String("member", f.Name))
 		s.Accept(now, []facts.Fact{f})
 	}
@@ -278,9 +274,11 @@
 	}
 }
 
-func (s *Spread) publish(now time.Time) {
-	v := &View{Digest: s.set.Digest()}
-	for _, f := range s.set.All() {
+func (s *Spread) publish(now time.Time, kept []facts.Fact) {
+	if s.members == nil {
+		s.members = make(map[string]facts.Member)
+	}
+	for _, f := range kept {
 		if f.Kind != facts.KindMember {
 			continue
 		}
@@ -289,7 +287,11 @@
 			events.FactRefused.Log(s.Logger, events.Failure(err))
 			continue
 		}
-		v.Members = append(v.Members, m)
+		s.members[f.Name] = m
+	}
+	v := &View{Digest: s.set.Digest(), Members: make([]facts.Member, 0, len(s.members))}
+	for _, name := range slices.Sorted(maps.Keys(s.members)) {
+		v.Members = append(v.Members, s.members[name])
 	}
 	list, err := services.ListOf(&s.set)
 	if err != nil {
@@ -297,11 +299,27 @@
 	}
 	v.Services = list
 	s.view.Store(v)
+	s.expect(now, v.Members)
 	if s.OnChange != nil {
 		s.OnChange(now, v)
 	}
 }
 
+// expect tells the detector which members choose this instance as a peer.
+func (s *Spread) expect(now time.Time, members []facts.Member) {
+	if !s.Detect {
+		return
+	}
+	s.expected = map[string]bool{}
+	for _, m := range members {
+		gone := m.State == facts.StateDown || m.State == facts.StateLeft
+		if !gone && m.Instance != s.Self.Instance && slices.Contains(ChoosePeers(m, nil, members), s.Self.Control) {
+			s.expected[m.Instance] = true
+		}
+	}
+	s.detector.Expect(s.expected, now)
+}
+
 // passOn sends accepted facts to a bounded number of other instances; exchanges reach the rest.
 func (s *Spread) passOn(kept []facts.Fact) {
 	sent := 0
