--- a/agent/cmd/carrier.go
+++ b/agent/cmd/carrier.go
@@ -22,6 +22,7 @@
 	"github.com/coltsfootline/coltsfootline/kernel/peer"
 	"github.com/coltsfootline/coltsfootline/kernel/plan"
 	"github.com/coltsfootline/coltsfootline/kernel/process"
+	"github.com/coltsfootline/coltsfootline/kernel/reload"
 	"github.com/coltsfootline/coltsfootline/kernel/store"
 )
 
@@ -40,6 +41,7 @@
 	form     announce.Form
 	packets  *net.UDPConn
 	outbound *net.UDPConn
+	reloader *reload.Reloader[*Settings]
 
 	// mutex guards what the two sockets' loops and the announcements share.
 	mutex    sync.Mutex
@@ -78,6 +80,8 @@
 		tracker:  announce.Tracker{Service: s.Service},
 		recorder: carrier.NewRecorder(logger, metrics.GetDefaultSet()),
 	}
+	a.reloader = &reload.Reloader[*Settings]{File: reload.FileOf(ctx), New: defaults, Logger: logger, Apply: a.apply}
+	a.process.Reload = a.reloader.Check
 	a.node = &control.Node{
 		Self: facts.Member{
 			Instance: s.Instance, Role: facts.RoleAgent, DataCentre: s.DataCentre, Service: s.Service,
@@ -106,6 +110,7 @@
 	if err := a.node.Start(lifetime, map[string]peer.Handler{peer.MethodStatus: peer.Handle(a.status)}); err != nil {
 		return err
 	}
+	a.reloader.Start(lifetime)
 	server := &announceServer{listener: listener, handler: a.form.Handler(a), logger: a.process.Logger}
 	context.AfterFunc(lifetime, func() { _ = listener.Close() })
 	go server.run()
@@ -116,6 +121,17 @@
 	return nil
 }
 
+// apply takes changed settings up; seeds and the log level need no restart.
+func (a *carrierAgent) apply(s *Settings) []string {
+	events.SetLevel(s.Log.Level)
+	a.node.Spread.Do(context.Background(), func(time.Time) { a.node.Spread.SetSeeds(s.Entries) })
+	held := *a.settings
+	held.Entries, held.Log = s.Entries, s.Log
+	restart := reload.Changed(held, *s)
+	a.settings.Entries, a.settings.Log = s.Entries, s.Log
+	return restart
+}
+
 // leave tells the entries that new flows go elsewhere and lets requests in flight finish.
 func (a *carrierAgent) leave(ctx context.Context) {
 	a.mutex.Lock()
--- a/entry/cmd/carrier.go
+++ b/entry/cmd/carrier.go
@@ -19,6 +19,7 @@
 	"github.com/coltsfootline/coltsfootline/kernel/placement"
 	"github.com/coltsfootline/coltsfootline/kernel/plan"
 	"github.com/coltsfootline/coltsfootline/kernel/process"
+	"github.com/coltsfootline/coltsfootline/kernel/reload"
 	"github.com/coltsfootline/coltsfootline/kernel/store"
 )
 
@@ -40,6 +41,7 @@
 	plan      atomic.Pointer[plan.Plan]
 	used      usedState
 	leaving   atomic.Bool
+	reloader  *reload.Reloader[*Settings]
 }
 
 // usedState is what the traffic thread took over last.
@@ -75,6 +77,8 @@
 		core:     &flow.Entry{Self: s.Packets, DataCentre: s.DataCentre, Codec: codec, Policy: policy},
 		recorder: carrier.NewRecorder(logger, metrics.GetDefaultSet()),
 	}
+	e.reloader = &reload.Reloader[*Settings]{File: reload.FileOf(ctx), New: defaults, Logger: logger, Apply: e.apply}
+	e.process.Reload = e.reloader.Check
 	e.node = &control.Node{
 		Self: facts.Member{
 			Instance: s.Instance, Role: facts.RoleEntry, DataCentre: s.DataCentre,
@@ -97,6 +101,7 @@
 	if err := e.node.Start(lifetime, map[string]peer.Handler{peer.MethodStatus: peer.Handle(e.status)}); err != nil {
 		return err
 	}
+	e.reloader.Start(lifetime)
 	loop := &carrier.Loop{Socket: socket, Stepper: e, Logger: e.process.Logger}
 	loop.Start(lifetime)
 	<-ctx.Done()
@@ -104,6 +109,17 @@
 	return nil
 }
 
+// apply takes changed settings up; seeds and the log level need no restart.
+func (e *carrierEntry) apply(s *Settings) []string {
+	events.SetLevel(s.Log.Level)
+	e.node.Spread.Do(context.Background(), func(time.Time) { e.node.Spread.SetSeeds(s.Peers) })
+	held := *e.settings
+	held.Peers, held.Log = s.Peers, s.Log
+	restart := reload.Changed(held, *s)
+	e.settings.Peers, e.settings.Log = s.Peers, s.Log
+	return restart
+}
+
 // leave serves on until the network has stopped using this entry.
 func (e *carrierEntry) leave(ctx context.Context) {
 	e.leaving.Store(true)
--- a/kernel/command/runCmd.go
+++ b/kernel/command/runCmd.go
@@ -4,6 +4,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/coltsfootline/coltsfootline/kernel/reload"
 	"github.com/coltsfootline/coltsfootline/kernel/settings"
 )
 
@@ -42,7 +43,7 @@
 	if err := settings.Load(c.file, s); err != nil {
 		return err
 	}
-	return c.program.Run(cmd.Context(), s, cmd.OutOrStdout())
+	return c.program.Run(reload.WithFile(cmd.Context(), c.file), s, cmd.OutOrStdout())
 }
 
 func addSettingsFlag(cmd *cobra.Command, file *string) {
--- a/kernel/events/event.go
+++ b/kernel/events/event.go
@@ -65,9 +65,18 @@
 	Level  slog.Level `yaml:"level"`
 }
 
+// level is the least level of every logger of the process; it may change while the process runs.
+var level slog.LevelVar
+
+// SetLevel changes the least level of every logger of the process.
+func SetLevel(l slog.Level) {
+	level.Set(l)
+}
+
 // NewLogger writes JSON lines, or text when the format is "text".
 func NewLogger(w io.Writer, o Options, instance string) *slog.Logger {
-	handlerOptions := &slog.HandlerOptions{Level: o.Level}
+	SetLevel(o.Level)
+	handlerOptions := &slog.HandlerOptions{Level: &level}
 	var h slog.Handler = slog.NewJSONHandler(w, handlerOptions)
 	if o.Format == "text" {
 		h = slog.NewTextHandler(w, handlerOptions)
--- a/kernel/peer/spread.go
+++ b/kernel/peer/spread.go
@@ -98,9 +98,9 @@
 	// Plan tells the version of the plan in use, and hears that a peer uses another. It may be nil.
 	Plan PlanVersions
 
-	set      facts.Set
-	version  uint64
-	members  map[string]facts.Member
+	set     facts.Set
+	version uint64
+	members map[string]facts.Member
 	// expected are the members that choose this instance as a peer.
 	expected map[string]bool
 	detector facts.Detector
@@ -175,6 +175,11 @@
 	s.announce(now)
 }
 
+// SetSeeds replaces the seeds. Call it on the control thread.
+func (s *Spread) SetSeeds(seeds []netip.AddrPort) {
+	s.Seeds = seeds
+}
+
 // SetTarget publishes what this instance knows of its target. Call it on the control thread.
 func (s *Spread) SetTarget(now time.Time, t facts.Target) {
 	s.Self.Target = &t
