Instances that start together find each other through the store

Cause: an instance listed the members before it wrote its own entry, so that two that started together never met unless a seed joined them; TestInstancesFindEachOtherInTheStore failed. Ruled out: writing first, which would lose what the store holds of the own target. Change: an instance that no peer answers lists anew every 300 ms. Tests against the stand-in for start without store, plans through entries, restored targets, odd objects, and calls while the store is away.

--- a/kernel/control/register.go
+++ b/kernel/control/register.go
@@ -24,11 +24,13 @@
 	// instances back within 2 s of the store's return.
 	retryLeast    = 100 * time.Millisecond
 	retryGreatest = 1200 * time.Millisecond
+	// lonelyPeriod is how often an instance that no peer answers lists the members anew.
+	lonelyPeriod = 300 * time.Millisecond
 	// changeDelay gathers changes that follow each other into one write.
 	changeDelay = 20 * time.Millisecond
 )
 
-// Register keeps this instance's fact in the store and reads the others' once.
+// Register keeps this instance's fact in the store, and reads the others' at the start and while no peer answers.
 type Register struct {
 	Store  *store.Client
 	Spread *peer.Spread
@@ -43,7 +45,7 @@
 	exists bool
 }
 
-// Start writes the fact and reads the members until ctx ends.
+// Start reads the members and keeps the fact written until ctx ends.
 func (r *Register) Start(ctx context.Context) {
 	r.changed = make(chan struct{}, 1)
 	r.listed = make(chan struct{})
@@ -66,27 +68,41 @@
 }
 
 func (r *Register) run(ctx context.Context) {
-	p := pauser{}
-	for !r.list(ctx) {
-		if !p.pause(ctx) {
-			return
-		}
+	// The list comes first: it holds what this instance knew of its target before its start.
+	if !r.insist(ctx, r.list) {
+		return
 	}
 	close(r.listed)
+	ticker := time.NewTicker(lonelyPeriod)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-r.changed:
-		}
-		wait(ctx, changeDelay)
-		p := pauser{}
-		for !r.write(ctx) {
-			if !p.pause(ctx) {
+			wait(ctx, changeDelay)
+			if !r.insist(ctx, r.write) {
 				return
 			}
+			continue
+		case now := <-ticker.C:
+			// Instances that start together list before either has written.
+			if now.Sub(r.Spread.Answered()) > peersSilent {
+				r.list(ctx)
+			}
+		}
+	}
+}
+
+// insist repeats a call until it succeeds, and reports false when ctx ended first.
+func (r *Register) insist(ctx context.Context, call func(context.Context) bool) bool {
+	p := pauser{}
+	for !call(ctx) {
+		if !p.pause(ctx) {
+			return false
 		}
 	}
+	return true
 }
 
 func (r *Register) list(ctx context.Context) bool {
