--- a/agent/cmd/carrier.go
+++ b/agent/cmd/carrier.go
@@ -69,7 +69,8 @@
 		return err
 	}
 	client.OnCall = store.Count
-	logger := events.NewLogger(events.NewWriter(logs), s.Log, s.Instance)
+	writer := events.NewWriter(logs)
+	logger := events.NewLogger(writer, s.Log, s.Instance)
 	a := &carrierAgent{
 		settings: s,
 		process: &process.Process{
@@ -90,6 +91,13 @@
 		Store: client, Format: format, Logger: logger, Seeds: s.Entries,
 		OnMembers: a.onMembers, OnPlan: a.onPlan, OnOwn: a.restore,
 	}
+	carrier.Gauge("coltsfootline_log_records_dropped_total", func() float64 { return float64(writer.Dropped()) })
+	carrier.Gauge("coltsfootline_flows", func() float64 {
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		return float64(a.core.Flows())
+	})
+	a.core.Served = metrics.GetOrCreateHistogram("coltsfootline_agent_service_seconds").Update
 	return a.process.Run(ctx, a.serve)
 }
 
--- a/entry/cmd/carrier.go
+++ b/entry/cmd/carrier.go
@@ -41,7 +41,9 @@
 	plan      atomic.Pointer[plan.Plan]
 	used      usedState
 	leaving   atomic.Bool
-	reloader  *reload.Reloader[*Settings]
+	// flows is how many flows the traffic thread remembers.
+	flows    atomic.Int64
+	reloader *reload.Reloader[*Settings]
 }
 
 // usedState is what the traffic thread took over last.
@@ -68,7 +70,8 @@
 		return err
 	}
 	client.OnCall = store.Count
-	logger := events.NewLogger(events.NewWriter(logs), s.Log, s.Instance)
+	writer := events.NewWriter(logs)
+	logger := events.NewLogger(writer, s.Log, s.Instance)
 	e := &carrierEntry{
 		settings: s,
 		process: &process.Process{
@@ -87,6 +90,8 @@
 		Seeds: s.Peers, Store: client, Format: format, Logger: logger,
 		OnMembers: e.onMembers, OnPlan: e.onPlan,
 	}
+	carrier.Gauge("coltsfootline_log_records_dropped_total", func() float64 { return float64(writer.Dropped()) })
+	carrier.Gauge("coltsfootline_flows", func() float64 { return float64(e.flows.Load()) })
 	return e.process.Run(ctx, e.serve)
 }
 
@@ -141,6 +146,7 @@
 func (e *carrierEntry) Tick(now time.Time) {
 	e.takeOver(now)
 	e.core.Sweep(now)
+	e.flows.Store(int64(e.core.Flows()))
 	e.output.Clear()
 	e.core.Search(now, &e.output)
 	e.recorder.Record(now, &e.output, carrier.Deliver(e.socket, &e.output))
--- a/kernel/carrier/recorder.go
+++ b/kernel/carrier/recorder.go
@@ -22,6 +22,11 @@
 	dropped   map[gue.Reason]*metrics.Counter
 }
 
+// Gauge registers a metric that is read when it is asked for.
+func Gauge(name string, read func() float64) {
+	metrics.GetOrCreateGauge(name, read)
+}
+
 type decisionKey struct {
 	action flow.Action
 	reason string
@@ -58,7 +63,7 @@
 			continue
 		}
 		e.Log(r.Logger,
-			slog.String("flow", d.Flow.String()), slog.String("to", d.Instance), slog.String("reason", d.Reason),
+			slog.String("flow", d.Flow.String()), slog.String("to", d.Instance), slog.String("reason", d.Reason), slog.String("request", d.Request),
 			slog.Uint64("planVersion", d.PlanVersion), slog.Int("count", d.Count), slog.Int64("ageMs", d.AgeMs))
 	}
 }
@@ -105,6 +110,10 @@
 		return events.FlowRefused
 	case flow.ActionBounced:
 		return events.FlowBounced
+	case flow.ActionRequest:
+		return events.RequestCarried
+	case flow.ActionLate:
+		return events.AnswerLate
 	case flow.ActionProbed:
 		return events.FlowsProbed
 	}
--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
@@ -74,6 +75,8 @@
 	maps.Copy(all, handlers)
 	server := &peer.Server{Address: n.Self.Control, Handlers: all, Logger: n.Logger}
 	n.Plans.prepare()
+	metrics.GetOrCreateGauge("coltsfootline_plan_version", func() float64 { return float64(n.Plans.Version()) })
+	metrics.GetOrCreateGauge("coltsfootline_members", func() float64 { return float64(len(n.Spread.View().Members)) })
 	n.Spread.Start(ctx)
 	if err := server.Start(ctx); err != nil {
 		return err
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -47,6 +47,8 @@
 	FlowBounced         = define(508, "flowBounced", slog.LevelInfo, "packet that the target gave back was returned to its entry")
 	FlowsProbed         = define(509, "flowsProbed", slog.LevelWarn, "target started anew and is asked which flows it holds; count: flows")
 	FlowDropped         = define(510, "flowDropped", slog.LevelInfo, "packet of a new flow dropped")
+	RequestCarried      = define(511, "requestCarried", slog.LevelInfo, "request given to the target; count: requests in flight, ageMs: since the flow opened or the last request")
+	AnswerLate          = define(512, "answerLate", slog.LevelInfo, "target's answer began later than the route's objective; ageMs: since the request")
 	TargetChanged       = define(520, "targetChanged", slog.LevelInfo, "target said something new of itself")
 	AnnouncementRefused = define(521, "announcementRefused", slog.LevelWarn, "announcement that can't be read or is late was refused")
 	HandOverFailed      = define(450, "handOverFailed", slog.LevelWarn, "a request handed to another agent got no answer")
--- a/kernel/events/limiter.go
+++ b/kernel/events/limiter.go
@@ -3,7 +3,7 @@
 import "time"
 
 // recordsPerSecond bounds how often one event is logged in a second: a process logs at most about 100 KB/s.
-const recordsPerSecond = 20
+const recordsPerSecond = 50
 
 // Limiter bounds how often each event is logged. The zero value is ready to use from one goroutine.
 type Limiter struct {
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -35,6 +35,8 @@
 	// Target is where the target takes packets.
 	Target netip.AddrPort
 	Codec  Codec
+	// Served takes the time from each request to its answer, in seconds; it may be nil.
+	Served func(seconds float64)
 
 	plan *plan.Plan
 	// target is the latest word about the target; heard is when the target itself gave it.
@@ -71,6 +73,8 @@
 	// asker is the entry that wants to know whether the target holds the flow.
 	asker netip.Addr
 	asked time.Time
+	// request is the id of the latest request that was seen.
+	request string
 	// probe is the caller's last packet without data; given to the target again it tells whether the flow is held.
 	probe []byte
 }
@@ -250,7 +254,7 @@
 	}
 	k.last = now
 	k.acked = v.Acknowledged
-	a.observe(now, k, packet, v)
+	a.observe(now, f, k, packet, v, out)
 	if v.Mark.Code == CodeLocate && known && k.state != stateUnknown {
 		k.asker = from.Addr()
 		a.tell(f, k, CodeHere, out)
@@ -258,7 +262,7 @@
 	a.deliver(from.Addr(), packet, out)
 }
 
-func (a *Agent) observe(now time.Time, k *agentFlow, packet []byte, v *View) {
+func (a *Agent) observe(now time.Time, f gue.Flow, k *agentFlow, packet []byte, v *View, out *Output) {
 	if k.state == stateOpening && k.hasAccepted {
 		k.state = stateOpen
 	}
@@ -271,12 +275,45 @@
 		// Flows that the target was merely asked about, or that ended, are no load.
 		if k.state == stateOpening || k.state == stateOpen {
 			a.setBusy(k, true, now)
+			a.seeRequest(now, f, k, packet, out)
 		}
 	default:
 		k.probe = append(k.probe[:0], packet...)
 	}
 }
 
+// seeRequest notes the request that begins in a packet, if one does.
+func (a *Agent) seeRequest(now time.Time, f gue.Flow, k *agentFlow, packet []byte, out *Output) {
+	id := a.Codec.RequestID(packet)
+	if id == nil || string(id) == k.request {
+		return
+	}
+	k.request = string(id)
+	out.decide(Decision{
+		Action: ActionRequest, Flow: f, Request: k.request, PlanVersion: a.planVersion(), Count: a.busy, AgeMs: now.Sub(k.since).Milliseconds(),
+	})
+}
+
+// answered notes the first octets of an answer, and tells when they come later than the route's objective.
+func (a *Agent) answered(now time.Time, f gue.Flow, k *agentFlow, out *Output) {
+	if !k.busy {
+		return
+	}
+	took := now.Sub(k.since)
+	a.setBusy(k, false, now)
+	if a.Served != nil {
+		a.Served(took.Seconds())
+	}
+	if a.plan == nil {
+		return
+	}
+	if r := a.plan.Find(f.Service); r != nil && r.Objective > 0 && took > r.Objective {
+		out.decide(Decision{
+			Action: ActionLate, Flow: f, Request: k.request, PlanVersion: a.plan.Version, Count: a.busy, AgeMs: took.Milliseconds(),
+		})
+	}
+}
+
 // FromTarget decides about a packet that the target sent.
 func (a *Agent) FromTarget(now time.Time, packet []byte, out *Output) {
 	a.prepare(now)
@@ -338,7 +375,7 @@
 		a.setBusy(k, false, now)
 		k.state = stateClosed
 	case v.Length > 0 || v.Finish:
-		a.setBusy(k, false, now)
+		a.answered(now, f, k, out)
 	}
 	if v.Length > 0 && k.state <= stateOpening {
 		k.state = stateOpen
--- a/kernel/flow/codec_test.go
+++ b/kernel/flow/codec_test.go
@@ -42,6 +42,8 @@
 	return encode(View{Source: f.Service, Destination: f.Caller, Reset: true, Sequence: acknowledged})
 }
 
+func (testCodec) RequestID(p []byte) []byte { return p[testHeader:] }
+
 func (testCodec) HeaderLength() int { return testHeader }
 
 // encode writes a packet; v.Length octets of data follow the header.
--- a/kernel/flow/flow_test.go
+++ b/kernel/flow/flow_test.go
@@ -343,6 +343,28 @@
 	require.Empty(t, w.reasons(ActionReset))
 }
 
+// A late answer names its request, how long it took and what else the target worked on.
+func TestLateAnswerIsExplained(t *testing.T) {
+	w := newWorld(t, 1, 1)
+	w.plan.Routes[0].Objective = 150 * time.Millisecond
+	h := w.opens(0, 1)
+	data := View{Source: caller(1), Destination: testService, Acknowledged: h.target.held[flowOf(1)] + 1, Length: 3}
+	packet := encode(data)
+	copy(packet[testHeader:], "id7")
+	var out Output
+	h.agent.FromEntry(w.now, w.entries[0].Self, packet, &out)
+	require.Len(t, out.Decisions, 1)
+	require.Equal(t, ActionRequest, out.Decisions[0].Action)
+	require.Equal(t, "id7", out.Decisions[0].Request)
+	out.Clear()
+	answer := View{Source: testService, Destination: caller(1), Length: 1}
+	h.agent.FromTarget(w.now.Add(200*time.Millisecond), encode(answer), &out)
+	require.Len(t, out.Decisions, 1)
+	require.Equal(t, ActionLate, out.Decisions[0].Action)
+	require.Equal(t, "id7", out.Decisions[0].Request)
+	require.Equal(t, int64(200), out.Decisions[0].AgeMs)
+}
+
 func TestStrangersAnswersAreDropped(t *testing.T) {
 	w := newWorld(t, 1, 1)
 	var out Output
--- a/kernel/flow/output.go
+++ b/kernel/flow/output.go
@@ -27,10 +27,9 @@
 	ActionUncertain
 	ActionRefused
 	ActionBounced
-	ActionReturned
-	ActionAccepted
 	ActionProbed
-	ActionServed
+	ActionRequest
+	ActionLate
 )
 
 // Decision says what was decided about a flow and from what.
@@ -41,6 +40,8 @@
 	Instance string
 	// Reason is a camel-case word.
 	Reason string
+	// Request is the request's id, where it was seen.
+	Request string
 	// PlanVersion is the plan that the decision used.
 	PlanVersion uint64
 	// Count depends on the action: hosts asked, hosts tried, or requests in flight.
--- a/kernel/flow/view.go
+++ b/kernel/flow/view.go
@@ -89,6 +89,8 @@
 	// PutReset writes a reset from the service to the caller into buffer, acceptable to a caller that last
 	// acknowledged the given number, and returns it.
 	PutReset(buffer []byte, f gue.Flow, acknowledged uint32) []byte
+	// RequestID returns the id of the request that begins in a packet's data, or nil. It aliases the packet.
+	RequestID(packet []byte) []byte
 	// HeaderLength is the length of a packet without data, in octets.
 	HeaderLength() int
 }
