--- a/agent/cmd/carrier.go
+++ b/agent/cmd/carrier.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -264,50 +263,6 @@
 	}, nil
 }
 
-// entrySide takes packets from entries.
-type entrySide struct{ agent *carrierAgent }
-
-// Packet decides about one packet.
-func (s entrySide) Packet(now time.Time, from netip.AddrPort, packet []byte) {
-	a := s.agent
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.step(now, func(out *flow.Output) { a.core.FromEntry(now, from, packet, out) })
-}
-
-// Tick sweeps the flows.
-func (s entrySide) Tick(now time.Time) {
-	a := s.agent
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.step(now, func(out *flow.Output) { a.core.Sweep(now, out) })
-	a.recorder.Tick(now)
-}
-
-// Woke logs that packets of entries were dropped.
-func (s entrySide) Woke(_ time.Time, still time.Duration, dropped int) {
-	s.agent.recorder.Woke(still, dropped)
-}
-
-// targetSide takes packets from the target.
-type targetSide struct{ agent *carrierAgent }
-
-// Packet decides about one packet.
-func (s targetSide) Packet(now time.Time, _ netip.AddrPort, packet []byte) {
-	a := s.agent
-	a.mutex.Lock()
-	defer a.mutex.Unlock()
-	a.step(now, func(out *flow.Output) { a.core.FromTarget(now, packet, out) })
-}
-
-// Woke logs that packets of the target were dropped.
-func (s targetSide) Woke(_ time.Time, still time.Duration, dropped int) {
-	s.agent.recorder.Woke(still, dropped)
-}
-
-// Tick does nothing: the other side sweeps.
-func (targetSide) Tick(time.Time) {}
-
 type announceServer struct {
 	listener net.Listener
 	handler  http.Handler
--- a/kernel/peer/spread.go
+++ b/kernel/peer/spread.go
@@ -29,42 +29,6 @@
 	taskQueueLength = 256
 )
 
-// ExchangeRequest compares sets: the digest of the sender's set, and the members it has not heard lately.
-type ExchangeRequest struct {
-	Instance string   `json:"instance"`
-	Digest   uint64   `json:"digest"`
-	Suspects []string `json:"suspects,omitempty"`
-	// PlanVersion is the plan that the sender uses.
-	PlanVersion uint64 `json:"planVersion,omitempty"`
-}
-
-// ExchangeReply tells how long ago the responder heard the suspects, and its parts' digests when the sets differ.
-type ExchangeReply struct {
-	Digest      uint64           `json:"digest"`
-	Parts       []uint64         `json:"parts,omitempty"`
-	HeardMs     map[string]int64 `json:"heardMs,omitempty"`
-	PlanVersion uint64           `json:"planVersion,omitempty"`
-}
-
-// ReconcileRequest names the sender's facts in the parts that differ.
-type ReconcileRequest struct {
-	Parts    []int            `json:"parts"`
-	Versions []facts.Versions `json:"versions,omitempty"`
-}
-
-// ReconcileReply carries the facts that the sender lacks and names those that the responder lacks.
-type ReconcileReply struct {
-	Facts  []facts.Fact `json:"facts,omitempty"`
-	Wanted []facts.Key  `json:"wanted,omitempty"`
-}
-
-// SpreadRequest carries facts that the sender accepted, and the plan that it uses.
-type SpreadRequest struct {
-	Facts       []facts.Fact   `json:"facts,omitempty"`
-	PlanVersion uint64         `json:"planVersion,omitempty"`
-	From        netip.AddrPort `json:"from"`
-}
-
 // SpreadReply acknowledges a SpreadRequest.
 type SpreadReply struct{}
 
@@ -376,66 +340,6 @@
 	return l
 }
 
-func (s *Spread) exchange(ctx context.Context, r ExchangeRequest) (ExchangeReply, error) {
-	var reply ExchangeReply
-	ok := s.Do(ctx, func(now time.Time) {
-		s.detector.Heard(r.Instance, now)
-		s.openLink(ctx, r.Instance)
-		reply.HeardMs = s.detector.Ages(r.Suspects, now)
-		if s.Plan != nil {
-			reply.PlanVersion = s.Plan.Version()
-			s.hearPlan(r.Instance, r.PlanVersion)
-		}
-		reply.Digest = s.set.Digest()
-		if reply.Digest != r.Digest {
-			reply.Parts = s.set.PartDigests()
-		}
-	})
-	if !ok {
-		return reply, ctx.Err()
-	}
-	return reply, nil
-}
-
-func (s *Spread) reconcile(ctx context.Context, r ReconcileRequest) (ReconcileReply, error) {
-	var reply ReconcileReply
-	if !s.Do(ctx, func(time.Time) { reply.Facts, reply.Wanted = s.set.Compare(r.Parts, r.Versions) }) {
-		return reply, ctx.Err()
-	}
-	return reply, nil
-}
-
-func (s *Spread) hearPlan(instance string, version uint64) {
-	for _, m := range s.view.Load().Members {
-		if m.Instance == instance {
-			s.Plan.Heard(version, m.Control)
-			return
-		}
-	}
-}
-
-// openLink makes facts flow back to an agent that exchanges with this entry.
-func (s *Spread) openLink(ctx context.Context, instance string) {
-	for _, m := range s.view.Load().Members {
-		if m.Instance == instance && m.Role == facts.RoleAgent {
-			s.link(context.WithoutCancel(ctx), m.Control)
-		}
-	}
-}
-
-func (s *Spread) spread(ctx context.Context, r SpreadRequest) (SpreadReply, error) {
-	ok := s.Do(ctx, func(now time.Time) {
-		if s.Plan != nil && r.From.IsValid() {
-			s.Plan.Heard(r.PlanVersion, r.From)
-		}
-		s.Accept(now, r.Facts)
-	})
-	if !ok {
-		return SpreadReply{}, ctx.Err()
-	}
-	return SpreadReply{}, nil
-}
-
 // TellPlan tells the peers of a plan that this instance took. Call it on the control thread.
 func (s *Spread) TellPlan() {
 	s.passOn(nil)
