--- a/kernel/flow/directory.go
+++ b/kernel/flow/directory.go
@@ -22,6 +22,8 @@
 	Target facts.Target
 	// Placeable says that new flows may go there.
 	Placeable bool
+	// Down says that the others took the instance's silence for its death.
+	Down bool
 
 	seed uint64
 }
@@ -52,6 +54,7 @@
 			DataCentre: m.DataCentre,
 			Service:    m.Service,
 			Packets:    m.Packets,
+			Down:       m.State == facts.StateDown,
 			seed:       xxhash.Sum64String(m.Instance),
 		}
 		if m.Target != nil {
@@ -67,10 +70,10 @@
 	return d
 }
 
-// holdsFlows counts agents that have just started, too: their targets may have lived on.
+// holdsFlows counts agents that have just started, too: their targets may have lived on. An instance that is down may
+// have been cut off from the others only.
 func holdsFlows(m facts.Member) bool {
-	alive := m.State == facts.StateServing || m.State == facts.StateDraining
-	return m.Role == facts.RoleAgent && alive && (m.Target == nil || m.Target.State != facts.TargetGone)
+	return m.Role == facts.RoleAgent && m.State != facts.StateLeft && (m.Target == nil || m.Target.State != facts.TargetGone)
 }
 
 func (d *Directory) add(h *Host) {
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -105,9 +105,15 @@
 	for _, h := range d.byAddress {
 		l := e.load(h.Instance)
 		if l.host != nil && !l.host.Target.SameIncarnation(h.Target) {
-			*l = hostLoad{outstanding: l.outstanding, flows: l.flows}
+			*l = hostLoad{outstanding: l.outstanding, flows: l.flows, downSince: l.downSince}
 		}
 		l.host = h
+		switch {
+		case !h.Down:
+			l.downSince = time.Time{}
+		case l.downSince.IsZero():
+			l.downSince = now
+		}
 	}
 	for _, l := range e.loads {
 		if l.host != nil && d.At(l.host.Packets.Addr()) != l.host {
@@ -176,7 +182,7 @@
 	k.last = now
 	if k.search != nil {
 		k.search.hold(packet, v)
-		e.progress(now, f, e.groupOf(f, route), k, out)
+		e.progress(now, f, e.groupOf(now, f, route), k, out)
 		return
 	}
 	if len(k.weak) > 0 {
--- a/kernel/flow/flow_test.go
+++ b/kernel/flow/flow_test.go
@@ -83,6 +83,38 @@
 	require.False(t, reset)
 }
 
+// A host that was marked down wrongly still answers for its flows (batinah, ack-then-dark, FLOW: its agent had lost all
+// its peers).
+func TestHostThatIsDownIsAskedToo(t *testing.T) {
+	w := newWorld(t, 2, 5)
+	h := w.opens(0, 1)
+	h.member.State = facts.StateDown
+	w.tell(0)
+	w.tell(1)
+	w.tellAgents()
+	w.pass(settleTime)
+	answered, reset := w.asks(1, 1, h)
+	require.True(t, answered)
+	require.False(t, reset)
+}
+
+// A host that is down and silent doesn't keep the flows of its dead target waiting for long.
+func TestFlowOfDeadHostIsReset(t *testing.T) {
+	w := newWorld(t, 2, 5)
+	h := w.opens(0, 1)
+	h.member.State = facts.StateDown
+	w.tell(0)
+	w.tell(1)
+	w.tellAgents()
+	w.lose = func(to netip.AddrPort, _ View) bool { return to == h.member.Packets }
+	_, reset := w.asks(1, 1, h)
+	require.False(t, reset)
+	for range 10 {
+		w.pass(askAgain)
+	}
+	require.True(t, w.toCaller[len(w.toCaller)-1].Reset)
+}
+
 func TestNewHostUnsettlesCertainty(t *testing.T) {
 	w := newWorld(t, 2, 3)
 	h := w.opens(0, 1)
--- a/kernel/flow/load.go
+++ b/kernel/flow/load.go
@@ -32,6 +32,8 @@
 	serviceTime  time.Duration
 	busyUntil    time.Time
 	refusedUntil time.Time
+	// downSince is when the host was found down; zero is up.
+	downSince time.Time
 	// accepted is when the host last accepted a flow.
 	accepted time.Time
 }
--- a/kernel/flow/search.go
+++ b/kernel/flow/search.go
@@ -14,6 +14,10 @@
 	askAgain = 100 * time.Millisecond
 	// searchLimit is how long a search lasts. Ends repeat a packet after 200 ms to 1.6 s, which begins another.
 	searchLimit = 3 * time.Second
+	// downAsked is how long a host that is down is asked: ends give flows up by then.
+	downAsked = 10 * time.Second
+	// downRounds is how often a host that is down is asked before its silence is taken for a denial.
+	downRounds = 2
 	// heldPackets is how many packets wait for a search: an end has at most 16 in flight.
 	heldPackets = 16
 	// maxSearches bounds the searches at once, and with heldPackets the memory that they take.
@@ -58,7 +62,7 @@
 	digests map[string]uint32
 }
 
-func (e *Entry) groupOf(f gue.Flow, route *plan.Route) group {
+func (e *Entry) groupOf(now time.Time, f gue.Flow, route *plan.Route) group {
 	g := group{digests: map[string]uint32{}}
 	for _, s := range route.Shares {
 		one := e.directory.Group(s.Service)
@@ -69,7 +73,9 @@
 		g.digests[s.Service] = uint32(one.Digest)
 		e.order = one.rank(f, e.order)
 		for _, r := range e.order {
-			g.hosts = append(g.hosts, r.host)
+			if l := e.load(r.host.Instance); !r.host.Down || now.Sub(l.downSince) < downAsked {
+				g.hosts = append(g.hosts, r.host)
+			}
 		}
 	}
 	return g
@@ -82,7 +88,7 @@
 		return
 	}
 	e.setStage(k, nil, stageIdle)
-	g := e.groupOf(f, route)
+	g := e.groupOf(now, f, route)
 	k.search = &search{started: now, digest: g.digest, denied: denied}
 	k.search.hold(packet, v)
 	e.searches[f] = k
@@ -131,7 +137,7 @@
 		e.beginSearch(now, f, route, k, packet, v, out, l)
 		return
 	}
-	g := e.groupOf(f, route)
+	g := e.groupOf(now, f, route)
 	if k.search.digest == g.digest && g.digests[l.host.Service] == v.Mark.Value && !contains(k.search.denied, l) {
 		k.search.denied = append(k.search.denied, l)
 	}
@@ -147,7 +153,7 @@
 	if !k.search.answered(l) {
 		k.search.maybe = append(k.search.maybe, l)
 	}
-	e.progress(now, f, e.groupOf(f, route), k, out)
+	e.progress(now, f, e.groupOf(now, f, route), k, out)
 }
 
 // progress ends a search, widens it, or asks again.
@@ -176,7 +182,7 @@
 // unanswered counts the hosts that did not answer, and the likely ones among them.
 func (e *Entry) unanswered(g group, s *search) (left, likely int) {
 	for i, h := range g.hosts {
-		if s.answered(e.load(h.Instance)) {
+		if s.answered(e.load(h.Instance)) || h.Down && s.rounds > downRounds {
 			continue
 		}
 		left++
@@ -294,7 +300,7 @@
 			e.flows.Remove(f)
 			continue
 		}
-		e.progress(now, f, e.groupOf(f, route), k, out)
+		e.progress(now, f, e.groupOf(now, f, route), k, out)
 	}
 }
 
--- a/kernel/peer/spread.go
+++ b/kernel/peer/spread.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,8 @@
 	exchangeTimeout = time.Second
 	spreadFanOut    = 8
 	taskQueueLength = 256
+	// avoidFailed is how long a peer that did not answer is left out of the choice: its successor needs about a second.
+	avoidFailed = 2 * time.Second
 )
 
 // SpreadReply acknowledges a SpreadRequest.
@@ -75,13 +78,42 @@
 	view     atomic.Pointer[View]
 	// answered is when a peer last answered, in Unix nanoseconds.
 	answered atomic.Int64
+	// failures are the peers whose last call failed, and when.
+	failuresMutex sync.Mutex
+	failures      map[netip.AddrPort]time.Time
 }
 
 // saw notes how a call to a peer ended.
-func (s *Spread) saw(_ netip.AddrPort, err error) {
+func (s *Spread) saw(to netip.AddrPort, err error) {
+	now := time.Now()
 	if err == nil {
-		s.answered.Store(time.Now().UnixNano())
+		s.answered.Store(now.UnixNano())
 	}
+	s.failuresMutex.Lock()
+	defer s.failuresMutex.Unlock()
+	if err == nil {
+		delete(s.failures, to)
+		return
+	}
+	if s.failures == nil {
+		s.failures = make(map[netip.AddrPort]time.Time)
+	}
+	s.failures[to] = now
+}
+
+// failing returns the peers that did not answer lately.
+func (s *Spread) failing(now time.Time) map[netip.AddrPort]bool {
+	s.failuresMutex.Lock()
+	defer s.failuresMutex.Unlock()
+	all := map[netip.AddrPort]bool{}
+	for to, at := range s.failures {
+		if now.Sub(at) > avoidFailed {
+			delete(s.failures, to)
+			continue
+		}
+		all[to] = true
+	}
+	return all
 }
 
 // Answered is when a peer last answered; the zero time is never.
@@ -325,9 +357,24 @@
 	}
 }
 
-// peers lists the entries to exchange with.
+// peers lists the entries to exchange with. When one does not answer, another is taken besides, so that an instance
+// whose peers all died is not left alone.
 func (s *Spread) peers() []netip.AddrPort {
-	return ChoosePeers(s.Self, s.Seeds, s.view.Load().Members)
+	members := s.view.Load().Members
+	chosen := ChoosePeers(s.Self, s.Seeds, members)
+	failing := s.failing(time.Now())
+	lost := func(a netip.AddrPort) bool { return failing[a] }
+	if !slices.ContainsFunc(chosen, lost) {
+		return chosen
+	}
+	others := slices.DeleteFunc(slices.Clone(members), func(m facts.Member) bool { return lost(m.Control) })
+	seeds := slices.DeleteFunc(slices.Clone(s.Seeds), lost)
+	for _, a := range ChoosePeers(s.Self, seeds, others) {
+		if !slices.Contains(chosen, a) {
+			chosen = append(chosen, a)
+		}
+	}
+	return chosen
 }
 
 func (s *Spread) link(ctx context.Context, to netip.AddrPort) *link {
