--- a/agent/cmd/carrier.go
+++ b/agent/cmd/carrier.go
@@ -22,7 +22,6 @@
 	"github.com/coltsfootline/coltsfootline/kernel/plan"
 	"github.com/coltsfootline/coltsfootline/kernel/process"
 	"github.com/coltsfootline/coltsfootline/kernel/reload"
-	"github.com/coltsfootline/coltsfootline/kernel/store"
 )
 
 const (
@@ -51,32 +50,22 @@
 }
 
 func runCarrier(ctx context.Context, s *Settings, logs io.Writer) error {
-	codec, err := flow.Codecs.Get(s.Form)
-	if err != nil {
-		return err
-	}
-	format, err := plan.Formats.Get(s.Form)
-	if err != nil {
-		return err
-	}
 	form, err := announce.Forms.Get(s.Form)
 	if err != nil {
 		return err
 	}
-	client, err := store.NewClient(s.Store, s.Form)
+	parts, err := carrier.NewParts(s.Form, s.Store, logs, s.Log, s.Instance)
 	if err != nil {
 		return err
 	}
-	client.OnCall = store.Count
-	writer := events.NewWriter(logs)
-	logger := events.NewLogger(writer, s.Log, s.Instance)
+	logger := parts.Logger
 	a := &carrierAgent{
 		settings: s,
 		process: &process.Process{
 			Admin: s.Admin, Pprof: s.Pprof, Logger: logger, Readiness: s.Readiness, ReadinessPath: s.ReadinessPath,
 		},
 		form:     form,
-		core:     &flow.Agent{Self: s.Packets, Service: s.Service, Target: s.TargetPackets, Codec: codec},
+		core:     &flow.Agent{Self: s.Packets, Service: s.Service, Target: s.TargetPackets, Codec: parts.Codec},
 		tracker:  announce.Tracker{Service: s.Service},
 		recorder: carrier.NewRecorder(logger, metrics.GetDefaultSet()),
 	}
@@ -87,10 +76,9 @@
 			Instance: s.Instance, Role: facts.RoleAgent, DataCentre: s.DataCentre, Service: s.Service,
 			Packets: s.Packets, Control: s.Control, State: facts.StateServing,
 		},
-		Store: client, Format: format, Logger: logger, Seeds: s.Entries,
+		Store: parts.Store, Format: parts.Format, Logger: logger, Seeds: s.Entries,
 		OnMembers: a.onMembers, OnPlan: a.onPlan, OnOwn: a.restore,
 	}
-	carrier.Gauge("coltsfootline_log_records_dropped_total", func() float64 { return float64(writer.Dropped()) })
 	carrier.Gauge("coltsfootline_flows", func() float64 {
 		a.mutex.Lock()
 		defer a.mutex.Unlock()
--- a/entry/cmd/carrier.go
+++ b/entry/cmd/carrier.go
@@ -20,7 +20,6 @@
 	"github.com/coltsfootline/coltsfootline/kernel/plan"
 	"github.com/coltsfootline/coltsfootline/kernel/process"
 	"github.com/coltsfootline/coltsfootline/kernel/reload"
-	"github.com/coltsfootline/coltsfootline/kernel/store"
 )
 
 // leaveRotation is how long an entry that is not ready any more still gets packets: two misses at two a second, and
@@ -53,31 +52,21 @@
 }
 
 func runCarrier(ctx context.Context, s *Settings, logs io.Writer) error {
-	codec, err := flow.Codecs.Get(s.Form)
-	if err != nil {
-		return err
-	}
 	policy, err := placement.FlowPolicies.Get(s.Policy)
 	if err != nil {
 		return err
 	}
-	format, err := plan.Formats.Get(s.Form)
-	if err != nil {
-		return err
-	}
-	client, err := store.NewClient(s.Store, s.Form)
+	parts, err := carrier.NewParts(s.Form, s.Store, logs, s.Log, s.Instance)
 	if err != nil {
 		return err
 	}
-	client.OnCall = store.Count
-	writer := events.NewWriter(logs)
-	logger := events.NewLogger(writer, s.Log, s.Instance)
+	logger := parts.Logger
 	e := &carrierEntry{
 		settings: s,
 		process: &process.Process{
 			Admin: s.Admin, Pprof: s.Pprof, Logger: logger, Readiness: s.Readiness, ReadinessPath: s.ReadinessPath,
 		},
-		core:     &flow.Entry{Self: s.Packets, DataCentre: s.DataCentre, Codec: codec, Policy: policy},
+		core:     &flow.Entry{Self: s.Packets, DataCentre: s.DataCentre, Codec: parts.Codec, Policy: policy},
 		recorder: carrier.NewRecorder(logger, metrics.GetDefaultSet()),
 	}
 	e.reloader = &reload.Reloader[*Settings]{File: reload.FileOf(ctx), New: defaults, Logger: logger, Apply: e.apply}
@@ -87,10 +76,9 @@
 			Instance: s.Instance, Role: facts.RoleEntry, DataCentre: s.DataCentre,
 			Packets: s.Packets, Control: s.Control, State: facts.StateServing,
 		},
-		Seeds: s.Peers, Store: client, Format: format, Logger: logger,
+		Seeds: s.Peers, Store: parts.Store, Format: parts.Format, Logger: logger,
 		OnMembers: e.onMembers, OnPlan: e.onPlan,
 	}
-	carrier.Gauge("coltsfootline_log_records_dropped_total", func() float64 { return float64(writer.Dropped()) })
 	carrier.Gauge("coltsfootline_flows", func() float64 { return float64(e.flows.Load()) })
 	return e.process.Run(ctx, e.serve)
 }
--- /dev/null
+++ b/kernel/carrier/parts.go
@@ -0,0 +1,39 @@
+package carrier
+
+import (
+	"io"
+	"log/slog"
+
+	"github.com/coltsfootline/coltsfootline/kernel/events"
+	"github.com/coltsfootline/coltsfootline/kernel/flow"
+	"github.com/coltsfootline/coltsfootline/kernel/plan"
+	"github.com/coltsfootline/coltsfootline/kernel/store"
+)
+
+// Parts are what every program of a form is made of.
+type Parts struct {
+	Codec  flow.Codec
+	Format plan.Format
+	Store  *store.Client
+	Logger *slog.Logger
+}
+
+// NewParts finds the plug-ins of a form, and makes the store's client and a logger that never blocks.
+func NewParts(form, storeURL string, logs io.Writer, o events.Options, instance string) (Parts, error) {
+	codec, err := flow.Codecs.Get(form)
+	if err != nil {
+		return Parts{}, err
+	}
+	format, err := plan.Formats.Get(form)
+	if err != nil {
+		return Parts{}, err
+	}
+	client, err := store.NewClient(storeURL, form)
+	if err != nil {
+		return Parts{}, err
+	}
+	client.OnCall = store.Count
+	writer := events.NewWriter(logs)
+	Gauge("coltsfootline_log_records_dropped_total", func() float64 { return float64(writer.Dropped()) })
+	return Parts{Codec: codec, Format: format, Store: client, Logger: events.NewLogger(writer, o, instance)}, nil
+}
--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -97,7 +97,7 @@
 // takePlan uses a plan and tells the peers, so that it spreads faster than by exchanges.
 func (n *Node) takePlan(p *plan.Plan) {
 	n.OnPlan(p)
-	n.Spread.Do(context.Background(), func(time.Time) { n.Spread.TellPlan() })
+	n.Spread.Do(context.Background(), func(now time.Time) { n.Spread.TellPlan(now) })
 }
 
 // watches says whether this instance asks the store for the plan itself: a few entries of each data centre do, and
--- a/kernel/peer/lost_test.go
+++ b/kernel/peer/lost_test.go
@@ -29,7 +29,7 @@
 	dead := agent.failing(time.Now())
 	require.NotEmpty(t, dead)
 	alive := 0
-	for _, a := range agent.peers() {
+	for _, a := range agent.peers(time.Now()) {
 		if !dead[a] {
 			alive++
 		}
--- a/kernel/peer/spread.go
+++ b/kernel/peer/spread.go
@@ -197,7 +197,7 @@
 	}
 	s.refute(now, kept)
 	s.publish(now, kept)
-	s.passOn(kept)
+	s.passOn(now, kept)
 }
 
 func (s *Spread) loop(ctx context.Context) {
@@ -224,7 +224,7 @@
 	if s.Detect {
 		s.markSilent(now)
 	}
-	for _, p := range s.peers() {
+	for _, p := range s.peers(now) {
 		s.link(ctx, p).exchangeWith(s.request(now))
 	}
 }
@@ -242,7 +242,7 @@
 
 func (s *Spread) markSilent(now time.Time) {
 	s.detector.Expect(s.expected, now)
-	joined := now.Sub(s.Answered()) < facts.SilenceTimeout/2 || len(s.peers()) == 0
+	joined := now.Sub(s.Answered()) < facts.SilenceTimeout/2 || len(s.peers(now)) == 0
 	for _, f := range s.detector.Silent(now, &s.set, joined) {
 		events.MemberSilent.Log(s.Logger, slog.String("member", f.Name))
 		s.Accept(now, []facts.Fact{f})
@@ -327,9 +327,9 @@
 }
 
 // passOn sends accepted facts to a bounded number of other instances; exchanges reach the rest.
-func (s *Spread) passOn(kept []facts.Fact) {
+func (s *Spread) passOn(now time.Time, kept []facts.Fact) {
 	sent := 0
-	peers := s.peers()
+	peers := s.peers(now)
 	for _, i := range rand.Perm(len(peers)) {
 		if sent == spreadFanOut {
 			break
@@ -359,10 +359,10 @@
 
 // peers lists the entries to exchange with. When one does not answer, another is taken besides, so that an instance
 // whose peers all died is not left alone.
-func (s *Spread) peers() []netip.AddrPort {
+func (s *Spread) peers(now time.Time) []netip.AddrPort {
 	members := s.view.Load().Members
 	chosen := ChoosePeers(s.Self, s.Seeds, members)
-	failing := s.failing(time.Now())
+	failing := s.failing(now)
 	lost := func(a netip.AddrPort) bool { return failing[a] }
 	if !slices.ContainsFunc(chosen, lost) {
 		return chosen
@@ -388,6 +388,6 @@
 }
 
 // TellPlan tells the peers of a plan that this instance took. Call it on the control thread.
-func (s *Spread) TellPlan() {
-	s.passOn(nil)
+func (s *Spread) TellPlan(now time.Time) {
+	s.passOn(now, nil)
 }
