--- a/kernel/control/register.go
+++ b/kernel/control/register.go
@@ -39,7 +39,6 @@
 	OnOwn func(m facts.Member)
 
 	changed chan struct{}
-	listed  chan struct{}
 	link    dependency
 	// down are the members that were found down, and since when; removed are those whose entries were removed.
 	down    map[string]time.Time
@@ -57,7 +56,6 @@
 // prepare makes Changed usable, which the first announcement causes before Start.
 func (r *Register) prepare() {
 	r.changed = make(chan struct{}, 1)
-	r.listed = make(chan struct{})
 	r.removed = make(map[string]bool)
 	r.link = dependency{name: "storeMembers", logger: r.Logger}
 }
@@ -70,17 +68,11 @@
 	}
 }
 
-// Listed is closed when the members were read from the store.
-func (r *Register) Listed() <-chan struct{} {
-	return r.listed
-}
-
 func (r *Register) run(ctx context.Context) {
 	// The list comes first: it holds what this instance knew of its target before its start.
 	if !r.insist(ctx, r.list) {
 		return
 	}
-	close(r.listed)
 	ticker := time.NewTicker(lonelyPeriod)
 	defer ticker.Stop()
 	for {
--- a/kernel/facts/target.go
+++ b/kernel/facts/target.go
@@ -18,8 +18,6 @@
 	BornMs int64       `json:"bornMs"`
 	State  TargetState `json:"state"`
 	Slots  int         `json:"slots"`
-	// WarmUntilMs is when the target stops being slow after its start, in Unix milliseconds.
-	WarmUntilMs int64 `json:"warmUntilMs,omitempty"`
 }
 
 // SameIncarnation reports whether both are the same run of one target.
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -274,11 +274,7 @@
 		}
 		e.flows.Remove(f)
 	}
-	for instance, l := range e.loads {
-		if l.host == nil && l.flows == 0 {
-			delete(e.loads, instance)
-		}
-	}
+	e.forgetLoads()
 	for _, f := range e.flows.Keys() {
 		k, _ := e.flows.Peek(f)
 		switch {
@@ -291,6 +287,15 @@
 	}
 }
 
+// forgetLoads forgets the load of hosts that left.
+func (e *Entry) forgetLoads() {
+	for instance, l := range e.loads {
+		if l.host == nil && l.flows == 0 {
+			delete(e.loads, instance)
+		}
+	}
+}
+
 // Flows is the number of flows remembered.
 func (e *Entry) Flows() int {
 	if e.flows == nil {
