explain, plan, hosts, flows find, and an audit trail in the store

Cause: an operator had grep alone to get from a request to its cause, and nothing kept what changed in the plan and membership. Change: coltsfootline explain reads logs of entries and agents and prints what was decided about a request or a caller's flows, what happened to the instances involved, and the likely cause (late, reset, lost, unplaced, carried); it says when records were left out. plan get, plan diff and plan history; hosts; flows find asks every instance. Each prints a table or JSON. Ruled out: an object a change (calls are priced, and it would grow), agents noting their own (they may be gone).

--- a/agent/cmd/carrier.go
+++ b/agent/cmd/carrier.go
@@ -18,6 +18,7 @@
 	"github.com/coltsfootline/coltsfootline/kernel/events"
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
 	"github.com/coltsfootline/coltsfootline/kernel/flow"
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
 	"github.com/coltsfootline/coltsfootline/kernel/peer"
 	"github.com/coltsfootline/coltsfootline/kernel/plan"
 	"github.com/coltsfootline/coltsfootline/kernel/process"
@@ -102,7 +103,9 @@
 	if err != nil {
 		return errors.WithStack(&process.ListenError{Address: a.settings.Announcements.String(), Cause: err})
 	}
-	if err := a.node.Start(lifetime, map[string]peer.Handler{peer.MethodStatus: peer.Handle(a.status)}); err != nil {
+	if err := a.node.Start(lifetime, map[string]peer.Handler{
+		peer.MethodStatus: peer.Handle(a.status), carrier.MethodFind: carrier.FindHandler(a.find),
+	}); err != nil {
 		return err
 	}
 	a.reloader.Start(lifetime)
@@ -251,6 +254,12 @@
 	}, nil
 }
 
+func (a *carrierAgent) find(_ context.Context, caller gue.Endpoint) []flow.Held {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.core.Find(time.Now(), caller)
+}
+
 type announceServer struct {
 	listener net.Listener
 	handler  http.Handler
--- a/coltsfootline/cmd/commands_test.go
+++ b/coltsfootline/cmd/commands_test.go
@@ -9,10 +9,16 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/coltsfootline/coltsfootline/kernel/audit"
+	"github.com/coltsfootline/coltsfootline/kernel/carrier"
 	"github.com/coltsfootline/coltsfootline/kernel/command"
+	"github.com/coltsfootline/coltsfootline/kernel/control"
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/flow"
 	"github.com/coltsfootline/coltsfootline/kernel/golden"
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
 	"github.com/coltsfootline/coltsfootline/kernel/peer"
+	"github.com/coltsfootline/coltsfootline/kernel/plan"
 )
 
 // fleet answers as the instances of a small installation would.
@@ -21,6 +27,8 @@
 	members []facts.Member
 	silent  map[string]bool
 	called  []string
+	plan    *plan.Plan
+	trail   audit.Trail
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -48,12 +56,36 @@
 		reply = f.reconcile()
 	case peer.MethodDrain:
 		reply = peer.DrainReply{Open: 5}
+	case control.MethodPlan:
+		var p control.PlanReply
+		if f.plan != nil {
+			p.Plan = *f.plan
+		}
+		reply = p
+	case carrier.MethodFind:
+		reply = f.find(to)
+	case control.MethodAudit:
+		reply = control.AuditReply{Trail: f.trail}
 	}
 	text, err := json.Marshal(reply)
 	require.NoError(f.t, err)
 	return json.Unmarshal(text, result)
 }
 
+func (f *fleet) find(to netip.AddrPort) carrier.FindReply {
+	held := flow.Held{
+		Flow: gue.Flow{
+			Caller:  gue.Endpoint{Address: [4]byte{100, 64, 0, 7}, Port: 1034},
+			Service: gue.Endpoint{Address: [4]byte{198, 18, 0, 1}, Port: 443},
+		},
+		Instance: "catalogue-1", Stage: "busy", IdleMs: 12,
+	}
+	if to != address(1) {
+		held.Instance, held.Request = "", "4858d6683b0aa9b3"
+	}
+	return carrier.FindReply{Flows: []flow.Held{held}}
+}
+
 func (f *fleet) reconcile() peer.ReconcileReply {
 	var reply peer.ReconcileReply
 	for _, m := range f.members {
@@ -82,6 +114,15 @@
 	golden.Check(t, "testdata/statusJson.golden", text)
 }
 
+func TestFlowsFind(t *testing.T) {
+	f := newFleet(t)
+	text, code := f.run("flows", "find", "100.64.0.7:1034")
+	require.Zero(t, code)
+	golden.Check(t, "testdata/flowsFind.golden", text)
+	_, code = f.run("flows", "find", "nobody")
+	require.Equal(t, 2, code)
+}
+
 func TestDrain(t *testing.T) {
 	f := newFleet(t)
 	text, code := f.run("drain", "catalogue-1")
--- /dev/null
+++ b/coltsfootline/cmd/explainCmd.go
@@ -0,0 +1,133 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/coltsfootline/coltsfootline/coltsfootline/story"
+	"github.com/coltsfootline/coltsfootline/kernel/command"
+)
+
+// NotLoggedError reports that no log record names a request or flow.
+type NotLoggedError struct {
+	What string
+}
+
+// Error says how to go on.
+func (e *NotLoggedError) Error() string {
+	return "no record names " + e.What + "; if it is a request that no agent saw, give its caller with --flow ADDRESS:PORT"
+}
+
+type explainCmd struct {
+	flow string
+	json bool
+}
+
+func newExplainCmd() *cobra.Command {
+	e := &explainCmd{}
+	cmd := &cobra.Command{
+		Use:   "explain REQUEST-ID [FILE]...",
+		Short: "Tell from logs what happened to a request",
+		Long: "Reads the logs of entries and agents, from files or from standard input, and prints the decisions about the\n" +
+			"request's flow in order of time, what happened to the instances involved, and the likely cause.\n" +
+			"With --flow the caller's address and port stand for a request that no agent saw.",
+		RunE: e.runExplain,
+	}
+	cmd.Flags().StringVar(&e.flow, "flow", "", "caller's address:port; then no REQUEST-ID is given")
+	cmd.Flags().BoolVar(&e.json, "json", false, "print JSON")
+	return cmd
+}
+
+func (e *explainCmd) runExplain(cmd *cobra.Command, arguments []string) error {
+	id := ""
+	if e.flow == "" {
+		if len(arguments) == 0 {
+			return errors.WithStack(&command.UsageError{Cause: errors.New("expected a request's id or --flow")})
+		}
+		id, arguments = arguments[0], arguments[1:]
+	}
+	logs, err := readLogs(cmd.InOrStdin(), arguments)
+	if err != nil {
+		return err
+	}
+	s, ok := logs.OfFlow(e.flow)
+	what := "flow " + e.flow
+	if id != "" {
+		s, ok = logs.OfRequest(id)
+		what = "request " + id
+	}
+	if !ok {
+		return errors.WithStack(&NotLoggedError{What: what})
+	}
+	if e.json {
+		return json.NewEncoder(cmd.OutOrStdout()).Encode(s)
+	}
+	return printStory(cmd.OutOrStdout(), s)
+}
+
+func readLogs(in io.Reader, files []string) (*story.Logs, error) {
+	logs := &story.Logs{}
+	if len(files) == 0 {
+		return logs, errors.WithStack(logs.Read(in))
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		err = logs.Read(f)
+		_ = f.Close()
+		if err != nil {
+			return nil, errors.Wrap(err, name)
+		}
+	}
+	return logs, nil
+}
+
+func printStory(w io.Writer, s *story.Story) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, f := range s.Flows {
+		_, _ = fmt.Fprintf(t, "flow %s\n", f)
+	}
+	for _, r := range s.Records {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", r.Time.UTC().Format("15:04:05.000"), r.Instance, r.EventName, details(r))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if s.Cause.Incomplete {
+		_, _ = fmt.Fprintln(w, "some records were left out (recordsLeftOut): a missing line proves nothing")
+	}
+	_, err := fmt.Fprintf(w, "%s: %s\n", s.Cause.Outcome, s.Cause.Text)
+	return err
+}
+
+func details(r story.Record) string {
+	var parts []string
+	add := func(name, value string) {
+		if value != "" && value != "0" {
+			parts = append(parts, name+"="+value)
+		}
+	}
+	add("request", r.Request)
+	add("to", r.To)
+	add("reason", r.Reason)
+	add("target", r.Target)
+	add("state", r.State)
+	add("member", r.Member)
+	add("dependency", r.Dependency)
+	add("of", r.Of)
+	add("count", fmt.Sprint(r.Count))
+	add("ageMs", fmt.Sprint(r.AgeMs))
+	add("bornMs", fmt.Sprint(r.BornMs))
+	add("planVersion", fmt.Sprint(r.PlanVersion))
+	add("error", r.Error)
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/coltsfootline/cmd/flowsCmd.go
@@ -0,0 +1,97 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"github.com/coltsfootline/coltsfootline/kernel/carrier"
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/flow"
+)
+
+func newFlowsCmd(c Caller) *cobra.Command {
+	cmd := &cobra.Command{Use: "flows", Short: "Look for flows"}
+	cmd.AddCommand(newFlowsFindCmd(c))
+	return cmd
+}
+
+type flowsFindCmd struct {
+	caller Caller
+	entry  entryFlag
+	json   bool
+}
+
+// FoundFlow is what one instance remembers of a flow; Silent says that it did not answer.
+type FoundFlow struct {
+	By     string `json:"by"`
+	Silent bool   `json:"silent,omitempty"`
+	flow.Held
+}
+
+func newFlowsFindCmd(c Caller) *cobra.Command {
+	f := &flowsFindCmd{caller: c}
+	cmd := &cobra.Command{
+		Use:   "find ADDRESS:PORT",
+		Short: "Ask every instance what it remembers of a caller's flows",
+		Long: "Asks every entry and agent. An entry's word is a hint, the agent's says what passed through it.\n" +
+			"It needs instances with form: platform.",
+		Args: exactlyOne,
+		RunE: f.runFind,
+	}
+	f.entry.add(cmd)
+	cmd.Flags().BoolVar(&f.json, "json", false, "print JSON")
+	return cmd
+}
+
+func (f *flowsFindCmd) runFind(cmd *cobra.Command, arguments []string) error {
+	caller, err := netip.ParseAddrPort(arguments[0])
+	if err != nil {
+		return usage(err)
+	}
+	entry, err := f.entry.address()
+	if err != nil {
+		return err
+	}
+	all, err := members(cmd.Context(), f.caller, entry)
+	if err != nil {
+		return err
+	}
+	found := []FoundFlow{}
+	for _, m := range all {
+		if m.State != facts.StateDown && m.State != facts.StateLeft {
+			found = append(found, f.ask(cmd.Context(), m, caller)...)
+		}
+	}
+	if f.json {
+		return json.NewEncoder(cmd.OutOrStdout()).Encode(found)
+	}
+	t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "BY\tFLOW\tAGENT\tSTAGE\tIDLE MS\tREQUEST")
+	for _, h := range found {
+		if h.Silent {
+			_, _ = fmt.Fprintf(t, "%s\tdoes not answer\n", h.By)
+			continue
+		}
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\n", h.By, h.Flow, h.Instance, h.Stage, h.IdleMs, h.Request)
+	}
+	return t.Flush()
+}
+
+func (f *flowsFindCmd) ask(ctx context.Context, m facts.Member, caller netip.AddrPort) []FoundFlow {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply carrier.FindReply
+	if err := f.caller.Call(ctx, m.Control, carrier.MethodFind, carrier.FindRequest{Caller: caller}, &reply); err != nil {
+		return []FoundFlow{{By: m.Instance, Silent: true}}
+	}
+	var found []FoundFlow
+	for _, h := range reply.Flows {
+		found = append(found, FoundFlow{By: m.Instance, Held: h})
+	}
+	return found
+}
--- /dev/null
+++ b/coltsfootline/cmd/planCmd.go
@@ -0,0 +1,189 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/coltsfootline/coltsfootline/kernel/command"
+	"github.com/coltsfootline/coltsfootline/kernel/control"
+	"github.com/coltsfootline/coltsfootline/kernel/plan"
+)
+
+// NoPlanError reports an instance that has no plan yet.
+type NoPlanError struct {
+	Instance string
+}
+
+// Error names the instance.
+func (e *NoPlanError) Error() string {
+	return e.Instance + " has no plan yet"
+}
+
+// PlanFileError reports a file that holds no plan as plan get --json prints it.
+type PlanFileError struct {
+	File  string
+	Cause error
+}
+
+// Error names the file.
+func (e *PlanFileError) Error() string {
+	return e.File + ": no plan: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *PlanFileError) Unwrap() error {
+	return e.Cause
+}
+
+func newPlanCmd(c Caller) *cobra.Command {
+	cmd := &cobra.Command{Use: "plan", Short: "Show the plan in use, what changed in it, and when"}
+	cmd.AddCommand(newPlanGetCmd(c), newPlanDiffCmd(c), newPlanHistoryCmd(c))
+	return cmd
+}
+
+type planGetCmd struct {
+	caller Caller
+	entry  entryFlag
+	json   bool
+}
+
+func newPlanGetCmd(c Caller) *cobra.Command {
+	g := &planGetCmd{caller: c}
+	cmd := &cobra.Command{
+		Use:   "get",
+		Short: "Print the plan that an entry uses",
+		Args:  noArguments,
+		RunE:  g.runGet,
+	}
+	g.entry.add(cmd)
+	cmd.Flags().BoolVar(&g.json, "json", false, "print JSON")
+	return cmd
+}
+
+func (g *planGetCmd) runGet(cmd *cobra.Command, _ []string) error {
+	p, err := planInUse(cmd.Context(), g.caller, g.entry)
+	if err != nil {
+		return err
+	}
+	if g.json {
+		return json.NewEncoder(cmd.OutOrStdout()).Encode(p)
+	}
+	w := cmd.OutOrStdout()
+	_, _ = fmt.Fprintf(w, "version %d, idle timeout %s\n", p.Version, p.IdleTimeout)
+	for _, r := range p.Routes {
+		_, _ = fmt.Fprintln(w, r)
+	}
+	return nil
+}
+
+func planInUse(ctx context.Context, c Caller, entry entryFlag) (*plan.Plan, error) {
+	address, err := entry.address()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply control.PlanReply
+	if err := c.Call(ctx, address, control.MethodPlan, control.PlanRequest{}, &reply); err != nil {
+		return nil, err
+	}
+	if reply.Plan.Version == 0 {
+		return nil, errors.WithStack(&NoPlanError{Instance: address.String()})
+	}
+	return &reply.Plan, nil
+}
+
+type planDiffCmd struct {
+	caller Caller
+	entry  entryFlag
+	json   bool
+}
+
+func newPlanDiffCmd(c Caller) *cobra.Command {
+	d := &planDiffCmd{caller: c}
+	cmd := &cobra.Command{
+		Use:   "diff OLD [NEW]",
+		Short: "Show what differs between a saved plan and another, or the one in use",
+		Long: "Compares files that plan get --json wrote. Without NEW the plan that the entry uses is compared.\n" +
+			"Exit code 0 also when they differ.",
+		Args: func(cmd *cobra.Command, arguments []string) error {
+			return usage(cobra.RangeArgs(1, 2)(cmd, arguments))
+		},
+		RunE: d.runDiff,
+	}
+	d.entry.add(cmd)
+	cmd.Flags().BoolVar(&d.json, "json", false, "print JSON")
+	return cmd
+}
+
+func (d *planDiffCmd) runDiff(cmd *cobra.Command, arguments []string) error {
+	before, err := readPlan(arguments[0])
+	if err != nil {
+		return err
+	}
+	var after *plan.Plan
+	if len(arguments) == 2 {
+		after, err = readPlan(arguments[1])
+	} else {
+		after, err = planInUse(cmd.Context(), d.caller, d.entry)
+	}
+	if err != nil {
+		return err
+	}
+	difference := plan.Compare(before, after)
+	if d.json {
+		return json.NewEncoder(cmd.OutOrStdout()).Encode(difference)
+	}
+	printDifference(cmd.OutOrStdout(), difference)
+	return nil
+}
+
+func readPlan(file string) (*plan.Plan, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	var p plan.Plan
+	if err := json.Unmarshal(text, &p); err != nil {
+		return nil, errors.WithStack(&PlanFileError{File: file, Cause: err})
+	}
+	return &p, nil
+}
+
+func printDifference(w io.Writer, d plan.Difference) {
+	_, _ = fmt.Fprintf(w, "version %d -> %d\n", d.From, d.To)
+	for _, r := range d.Removed {
+		_, _ = fmt.Fprintln(w, "-", r)
+	}
+	for _, r := range d.Added {
+		_, _ = fmt.Fprintln(w, "+", r)
+	}
+	for _, c := range d.Changed {
+		_, _ = fmt.Fprintln(w, "-", c.Before)
+		_, _ = fmt.Fprintln(w, "+", c.After)
+	}
+	if d.IdleTimeout {
+		_, _ = fmt.Fprintln(w, "the idle timeout differs")
+	}
+	if d.Empty() {
+		_, _ = fmt.Fprintln(w, "nothing else differs")
+	}
+}
+
+// usage marks an error as one of the arguments.
+func usage(err error) error {
+	if err == nil {
+		return nil
+	}
+	return errors.WithStack(&command.UsageError{Cause: err})
+}
+
+func noArguments(cmd *cobra.Command, arguments []string) error {
+	return usage(cobra.NoArgs(cmd, arguments))
+}
--- a/coltsfootline/cmd/root.go
+++ b/coltsfootline/cmd/root.go
@@ -35,8 +35,12 @@
 			"Exit codes: 0 done, 1 failed, 2 faulty arguments or settings.")
 	root.AddCommand(
 		newStatusCmd(c),
+		newPlanCmd(c),
+		newHostsCmd(c),
+		newFlowsCmd(c),
 		newDrainCmd(c),
 		newDoctorCmd(c),
+		newExplainCmd(),
 		command.NewVersionCmd("coltsfootline"),
 	)
 	return root
--- a/entry/cmd/carrier.go
+++ b/entry/cmd/carrier.go
@@ -15,6 +15,7 @@
 	"github.com/coltsfootline/coltsfootline/kernel/events"
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
 	"github.com/coltsfootline/coltsfootline/kernel/flow"
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
 	"github.com/coltsfootline/coltsfootline/kernel/peer"
 	"github.com/coltsfootline/coltsfootline/kernel/placement"
 	"github.com/coltsfootline/coltsfootline/kernel/plan"
@@ -69,6 +70,7 @@
 		},
 		core:     &flow.Entry{Self: s.Packets, DataCentre: s.DataCentre, Codec: parts.Codec, Policy: policy},
 		recorder: carrier.NewRecorder(logger, metrics.GetDefaultSet()),
+		queries:  carrier.NewQueries(),
 	}
 	e.reloader = &reload.Reloader[*Settings]{File: reload.FileOf(ctx), New: defaults, Logger: logger, Apply: e.apply}
 	e.process.Reload = e.reloader.Check
@@ -92,7 +94,9 @@
 		return err
 	}
 	e.socket = socket
-	if err := e.node.Start(lifetime, map[string]peer.Handler{peer.MethodStatus: peer.Handle(e.status)}); err != nil {
+	if err := e.node.Start(lifetime, map[string]peer.Handler{
+		peer.MethodStatus: peer.Handle(e.status), carrier.MethodFind: carrier.FindHandler(e.find),
+	}); err != nil {
 		return err
 	}
 	e.reloader.Start(lifetime)
@@ -135,6 +139,7 @@
 func (e *carrierEntry) Tick(now time.Time, behind bool) {
 	e.takeOver(now)
 	e.core.Sweep(now)
+	e.queries.Run(now)
 	e.flows.Store(int64(e.core.Flows()))
 	e.output.Clear()
 	e.core.Search(now, behind, &e.output)
@@ -175,3 +180,9 @@
 	v := e.node.Spread.View()
 	return peer.StatusReply{Instance: e.settings.Instance, Digest: v.Digest, Members: len(v.Members)}, nil
 }
+
+func (e *carrierEntry) find(ctx context.Context, caller gue.Endpoint) []flow.Held {
+	var all []flow.Held
+	e.queries.Do(ctx, func(now time.Time) { all = e.core.Find(now, caller) })
+	return all
+}
--- a/kernel/control/collect.go
+++ b/kernel/control/collect.go
@@ -65,7 +65,7 @@
 	return removed
 }
 
-// firstEntry picks the one entry of the fleet that removes entries.
+// firstEntry picks the one entry of the fleet that writes for all: it removes entries and keeps the audit trail.
 func firstEntry(self facts.Member, members []facts.Member) bool {
 	for _, m := range members {
 		if m.Role == facts.RoleEntry && m.State == facts.StateServing && m.Instance < self.Instance {
--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -46,6 +46,7 @@
 	Spread   *peer.Spread
 	Plans    *Plans
 	Register *Register
+	Auditor  *Auditor
 	pool     *peer.Pool
 	started  time.Time
 	members  atomic.Pointer[[]facts.Member]
@@ -71,9 +72,15 @@
 	}
 	n.Register = &Register{Store: n.Store, Spread: n.Spread, Logger: n.Logger, OnOwn: n.OnOwn}
 	n.Register.prepare()
+	if n.Self.Role == facts.RoleEntry {
+		n.Auditor = &Auditor{Store: n.Store, Logger: n.Logger, Self: n.Self.Instance, Writes: n.audits}
+	}
 	n.Spread.OnAnnounce = n.Register.Changed
 	all := n.Spread.Handlers()
 	maps.Copy(all, n.Plans.Handlers())
+	if n.Auditor != nil {
+		maps.Copy(all, n.Auditor.Handlers())
+	}
 	maps.Copy(all, handlers)
 	server := &peer.Server{Address: n.Self.Control, Handlers: all, Logger: n.Logger}
 	n.Plans.prepare()
@@ -85,21 +92,36 @@
 	}
 	n.Register.Start(ctx)
 	n.Plans.Start(ctx)
+	if n.Auditor != nil {
+		n.Auditor.Start(ctx)
+	}
 	context.AfterFunc(ctx, n.pool.Close)
 	return nil
 }
 
 func (n *Node) onChange(now time.Time, v *peer.View) {
 	n.members.Store(&v.Members)
+	if n.Auditor != nil {
+		n.Auditor.NoteMembers(now, v.Members)
+	}
 	n.OnMembers(now, v.Members)
 }
 
 // takePlan uses a plan and tells the peers, so that it spreads faster than by exchanges.
 func (n *Node) takePlan(p *plan.Plan) {
 	n.OnPlan(p)
+	if n.Auditor != nil {
+		n.Auditor.NotePlan(time.Now(), p)
+	}
 	n.Spread.Do(context.Background(), func(now time.Time) { n.Spread.TellPlan(now) })
 }
 
+// audits says whether this instance writes the audit trail.
+func (n *Node) audits() bool {
+	members := n.members.Load()
+	return members != nil && firstEntry(n.Self, *members)
+}
+
 // watches says whether this instance asks the store for the plan itself: a few entries of each data centre do, and
 // every instance that has no plan or no peer.
 func (n *Node) watches(now time.Time) bool {
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -27,6 +27,7 @@
 	PlanTaken           = define(202, "planTaken", slog.LevelInfo, "a newer plan is in force here")
 	PlanRefused         = define(203, "planRefused", slog.LevelError, "plan that can't be read was refused; the one in use stays")
 	MembersRead         = define(204, "membersRead", slog.LevelInfo, "members read from the store")
+	AuditDropped        = define(206, "auditDropped", slog.LevelWarn, "changes were left out of the audit trail, too many waited for the store")
 	EntryRemoved        = define(205, "entryRemoved", slog.LevelInfo, "store entry of an instance that is gone was removed")
 	PacketReadFailed    = define(300, "packetReadFailed", slog.LevelError, "reading packets failed")
 	StackRefused        = define(400, "stackRefused", slog.LevelError, "TCP stack refused its settings")
--- a/kernel/flow/flow_test.go
+++ b/kernel/flow/flow_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
 	"github.com/coltsfootline/coltsfootline/kernel/plan"
 )
 
@@ -221,3 +222,17 @@
 	}
 	require.Len(t, w.entries[0].loads, 3)
 }
+
+func TestFindTellsOfACallersFlows(t *testing.T) {
+	w := newWorld(t, 1, 3)
+	f := flowOf(1)
+	holder := w.opens(0, 1)
+	held := w.entries[0].Find(w.now, f.Caller)
+	require.Len(t, held, 1)
+	require.Equal(t, f, held[0].Flow)
+	require.Equal(t, holder.member.Instance, held[0].Instance)
+	found := holder.agent.Find(w.now, f.Caller)
+	require.Len(t, found, 1)
+	require.Equal(t, f, found[0].Flow)
+	require.Empty(t, w.entries[0].Find(w.now, gue.Endpoint{Port: f.Caller.Port}))
+}
--- a/kernel/gue/flow.go
+++ b/kernel/gue/flow.go
@@ -21,6 +21,11 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(e.Address), e.Port)
 }
 
+// String prints the endpoint as address:port.
+func (e Endpoint) String() string {
+	return e.AddrPort().String()
+}
+
 // EndpointOf converts an IPv4 address and port; other families give the zero Endpoint.
 func EndpointOf(a netip.AddrPort) Endpoint {
 	if !a.Addr().Is4() {
@@ -58,7 +63,7 @@
 
 // String prints the flow as caller>service.
 func (f Flow) String() string {
-	return f.Caller.AddrPort().String() + ">" + f.Service.AddrPort().String()
+	return f.Caller.String() + ">" + f.Service.String()
 }
 
 // FlowSyntaxError reports text that is not caller>service.
--- a/kernel/peer/choose.go
+++ b/kernel/peer/choose.go
@@ -1,9 +1,8 @@
 package peer
 
 import (
-	"cmp"
+	"math/bits"
 	"net/netip"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,59 +16,106 @@
 	farPeers  = 2
 )
 
+// candidate is an entry that others may exchange with.
+type candidate struct {
+	address    netip.AddrPort
+	dataCentre string
+	hash       uint64
+}
+
 // ChoosePeers returns the control addresses of the entries that an instance exchanges with: a few of its own data
 // centre and a few others, by rendezvous hashing. An agent goes to another data centre only if its own has too few.
 // Seeds count as entries unless a member with their address is down or has left.
 func ChoosePeers(self facts.Member, seeds []netip.AddrPort, members []facts.Member) []netip.AddrPort {
-	candidates := entryCandidates(self, seeds, members)
-	slices.SortFunc(candidates, func(a, b facts.Member) int { return cmp.Compare(score(self, b), score(self, a)) })
-	var near, far []facts.Member
-	for _, c := range candidates {
-		if c.DataCentre == self.DataCentre {
-			near = append(near, c)
-		} else {
-			far = append(far, c)
-		}
-	}
-	near = near[:min(len(near), nearPeers)]
-	wanted := farPeers
-	if self.Role == facts.RoleAgent {
-		wanted = max(nearPeers-len(near), 0)
-	} else if len(near) < nearPeers {
-		wanted = nearPeers + farPeers - len(near)
-	}
-	far = far[:min(len(far), wanted)]
-	return addressesOf(append(near, far...))
+	return choose(self, candidatesOf(seeds, members))
 }
 
-func entryCandidates(self facts.Member, seeds []netip.AddrPort, members []facts.Member) []facts.Member {
-	var serving []facts.Member
-	known := map[netip.AddrPort]bool{self.Control: true}
+// candidatesOf lists the entries that serve, and the seeds that no member is known at.
+func candidatesOf(seeds []netip.AddrPort, members []facts.Member) []candidate {
+	var all []candidate
+	known := make(map[netip.AddrPort]bool, len(seeds))
+	add := func(a netip.AddrPort, dataCentre string) {
+		all = append(all, candidate{address: a, dataCentre: dataCentre, hash: xxhash.Sum64String(a.String())})
+	}
 	for _, m := range members {
 		if m.Role != facts.RoleEntry {
 			continue
 		}
 		if m.State == facts.StateServing && !known[m.Control] {
-			serving = append(serving, m)
+			add(m.Control, m.DataCentre)
 		}
 		known[m.Control] = true
 	}
 	for _, s := range seeds {
 		if !known[s] {
-			serving = append(serving, facts.Member{Instance: s.String(), Control: s, Role: facts.RoleEntry})
+			add(s, "")
+		}
+	}
+	return all
+}
+
+// choose picks the peers of an instance among candidates.
+func choose(self facts.Member, candidates []candidate) []netip.AddrPort {
+	own := xxhash.Sum64String(self.Instance)
+	var near, far best
+	for _, c := range candidates {
+		switch {
+		case c.address == self.Control:
+		case c.dataCentre == self.DataCentre:
+			near.add(c.address, score(own, c.hash), nearPeers)
+		default:
+			far.add(c.address, score(own, c.hash), nearPeers+farPeers)
 		}
 	}
-	return serving
+	wanted := farPeers
+	if self.Role == facts.RoleAgent {
+		wanted = nearPeers - near.count
+	} else if near.count < nearPeers {
+		wanted = nearPeers + farPeers - near.count
+	}
+	return append(near.addresses(near.count), far.addresses(min(far.count, wanted))...)
 }
 
-func score(self, other facts.Member) uint64 {
-	return xxhash.Sum64String(self.Instance + "\x00" + other.Control.String())
+// score ranks an entry for an instance, given the hashes of both. It is not symmetric, so that instances which choose
+// each other are no more frequent than others.
+func score(own, entry uint64) uint64 {
+	return mix(own ^ bits.RotateLeft64(entry, 32))
 }
 
-func addressesOf(members []facts.Member) []netip.AddrPort {
-	all := make([]netip.AddrPort, 0, len(members))
-	for _, m := range members {
-		all = append(all, m.Control)
+// best keeps the addresses with the greatest scores, the greatest first.
+type best struct {
+	entries [nearPeers + farPeers]struct {
+		address netip.AddrPort
+		score   uint64
+	}
+	count int
+}
+
+// add takes an address in if its score is among the limit greatest.
+func (b *best) add(a netip.AddrPort, score uint64, limit int) {
+	at := b.count
+	for at > 0 && b.entries[at-1].score < score {
+		at--
+	}
+	if at >= limit {
+		return
+	}
+	b.count = min(b.count+1, limit)
+	copy(b.entries[at+1:b.count], b.entries[at:])
+	b.entries[at].address, b.entries[at].score = a, score
+}
+
+func (b *best) addresses(count int) []netip.AddrPort {
+	all := make([]netip.AddrPort, 0, nearPeers+farPeers)
+	for _, e := range b.entries[:count] {
+		all = append(all, e.address)
 	}
 	return all
 }
+
+// mix is the finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/kernel/peer/spread.go
+++ b/kernel/peer/spread.go
@@ -317,9 +317,10 @@
 		return
 	}
 	s.expected = map[string]bool{}
+	candidates := candidatesOf(nil, members)
 	for _, m := range members {
 		gone := m.State == facts.StateDown || m.State == facts.StateLeft
-		if !gone && m.Instance != s.Self.Instance && slices.Contains(ChoosePeers(m, nil, members), s.Self.Control) {
+		if !gone && m.Instance != s.Self.Instance && slices.Contains(choose(m, candidates), s.Self.Control) {
 			s.expected[m.Instance] = true
 		}
 	}
