Searches ask all likely hosts at once again, and are bounded by time

A denial takes a target up to 50 ms, and after the loss of all processes hundreds of searches repeat at once. Change: one stage less; a tick goes on with searches in steps of 256 packets for a fifth of its time.

--- a/entry/cmd/carrier.go
+++ b/entry/cmd/carrier.go
@@ -27,6 +27,9 @@
 // a margin for flows under way.
 const leaveRotation = 2200 * time.Millisecond
 
+// searchBudget is how much of each tick may go into searches: a fifth, since the answers have to be read, too.
+const searchBudget = carrier.TickPeriod / 5
+
 // carrierEntry is an entry before targets that end their flows themselves.
 type carrierEntry struct {
 	settings *Settings
@@ -141,9 +144,11 @@
 	e.core.Sweep(now)
 	e.queries.Run(now)
 	e.flows.Store(int64(e.core.Flows()))
-	e.output.Clear()
-	e.core.Search(now, behind, &e.output)
-	e.recorder.Record(now, &e.output, carrier.Deliver(e.socket, &e.output))
+	for more := true; more && time.Since(now) < searchBudget; {
+		e.output.Clear()
+		more = e.core.Search(now, behind, &e.output)
+		e.recorder.Record(now, &e.output, carrier.Deliver(e.socket, &e.output))
+	}
 	e.recorder.Tick(now)
 }
 
--- a/kernel/flow/search.go
+++ b/kernel/flow/search.go
@@ -16,13 +16,13 @@
 	searchLimit = 3 * time.Second
 	// downAsked is how long a host that is down is asked: ends give flows up by then.
 	downAsked = 10 * time.Second
-	// downRounds is how often a host that is down is asked before its silence is taken for a denial.
+	// downRounds is how often a host that is down is asked again before its silence is taken for a denial.
 	downRounds = 2
 	// heldPackets is how many packets wait for a search: an end has at most 16 in flight.
 	heldPackets = 16
 	// maxSearches bounds the searches at once, and with heldPackets the memory that they take.
 	maxSearches = 1024
-	// asksAtOnce bounds the packets that one round over all searches sends: a tenth of a second of a small entry's time.
+	// asksAtOnce bounds the packets that one step sends for searches: some 8 ms of the smallest entry's time.
 	asksAtOnce = 256
 	// settleTime is how long a group must be unchanged before a denial by all its hosts is certain: a new host is
 	// known everywhere within an exchange.
@@ -33,7 +33,8 @@
 type search struct {
 	started time.Time
 	asked   time.Time
-	rounds  int
+	// repeats is how often time alone made it ask again.
+	repeats int
 	group   group
 	// answers are what the hosts of the group said, in their order.
 	answers []answer
@@ -81,7 +82,7 @@
 // unanswered counts the hosts that did not answer, and those of them that were asked.
 func (s *search) unanswered() (left, asked int) {
 	for i, l := range s.group.hosts {
-		if s.answers[i] != answerNone || l.isDown() && s.rounds > downRounds {
+		if s.answers[i] != answerNone || l.isDown() && s.repeats >= downRounds {
 			continue
 		}
 		left++
@@ -92,17 +93,13 @@
 	return left, asked
 }
 
-// widen extends the reach to the next stage: near likely hosts, all likely ones, all.
+// widen extends the reach from the likely hosts to all.
 func (s *search) widen() {
-	likely := min(candidates, len(s.group.hosts))
-	switch {
-	case s.reach < s.group.near:
-		s.reach = s.group.near
-	case s.reach < likely:
+	if likely := min(candidates, len(s.group.hosts)); s.reach < likely {
 		s.reach = likely
-	default:
-		s.reach = len(s.group.hosts)
+		return
 	}
+	s.reach = len(s.group.hosts)
 }
 
 // group is the hosts that may hold a flow of a route, as of one directory.
@@ -110,9 +107,8 @@
 	directory *Directory
 	// digest is equal for equal sets of hosts.
 	digest uint64
-	// hosts begins with the likely ones, which the flow may have been placed on, and of these the near ones.
+	// hosts begins with the likely ones, which the flow may have been placed on.
 	hosts []*hostLoad
-	near  int
 }
 
 func (e *Entry) groupOf(now time.Time, f gue.Flow, route *plan.Route) group {
@@ -129,12 +125,6 @@
 			}
 		}
 	}
-	for i, l := range g.hosts[:min(candidates, len(g.hosts))] {
-		if l.host.DataCentre == e.DataCentre {
-			g.hosts[g.near], g.hosts[i] = l, g.hosts[g.near]
-			g.near++
-		}
-	}
 	return g
 }
 
@@ -170,7 +160,6 @@
 // ask sends the first held packet to the hosts within reach that did not answer yet.
 func (e *Entry) ask(now time.Time, f gue.Flow, s *search, out *Output) {
 	s.asked = now
-	s.rounds++
 	asked := 0
 	for i, l := range s.group.hosts[:s.reach] {
 		if s.answers[i] != answerNone || l.host == nil {
@@ -363,12 +352,12 @@
 	delete(e.searches, f)
 }
 
-// Search goes on with the searches under way. Call it every askAgain or so. An entry that is behind with its packets asks
-// nobody again: the answers are waiting.
-func (e *Entry) Search(now time.Time, behind bool, out *Output) {
+// Search goes on with the searches under way, and reports whether it stopped short of all to bound what it sends; then call
+// it again. An entry that is behind with its packets asks nobody again: the answers are waiting.
+func (e *Entry) Search(now time.Time, behind bool, out *Output) (more bool) {
 	for f, k := range e.searches {
 		if len(out.Sends) >= asksAtOnce {
-			break
+			return true
 		}
 		route := e.plan.Find(f.Service)
 		if route == nil {
@@ -377,9 +366,11 @@
 		}
 		e.refresh(now, f, route, k, out)
 		e.progress(now, f, k, out)
-		if s := k.search; s != nil && !behind && now.Sub(s.asked) >= askAgain<<(s.rounds-1) {
+		if s := k.search; s != nil && !behind && now.Sub(s.asked) >= askAgain<<s.repeats {
+			s.repeats++
 			s.reach = len(s.group.hosts)
 			e.ask(now, f, s, out)
 		}
 	}
+	return false
 }
