--- a/entry/cmd/carrier.go
+++ b/entry/cmd/carrier.go
@@ -27,8 +27,8 @@
 // a margin for flows under way.
 const leaveRotation = 2200 * time.Millisecond
 
-// searchBudget is how much of each tick may go into searches: a fifth, since the answers have to be read, too.
-const searchBudget = carrier.TickPeriod / 5
+// searchBudget is how much of each tick may go into searches: a twentieth, since the answers have to be read, too.
+const searchBudget = carrier.TickPeriod / 20
 
 // carrierEntry is an entry before targets that end their flows themselves.
 type carrierEntry struct {
@@ -82,7 +82,7 @@
 			Instance: s.Instance, Role: facts.RoleEntry, DataCentre: s.DataCentre,
 			Packets: s.Packets, Control: s.Control, State: facts.StateServing,
 		},
-		Seeds: s.Peers, Store: parts.Store, Format: parts.Format, Logger: logger,
+		Routes: s.ControlRoutes, Seeds: s.Peers, Store: parts.Store, Format: parts.Format, Logger: logger,
 		OnMembers: e.onMembers, OnPlan: e.onPlan,
 	}
 	carrier.Gauge("coltsfootline_flows", func() float64 { return float64(e.flows.Load()) })
