An emulated platform and a fault soak of our own

Change: rig/site runs entries and agents as processes on loopback addresses between routers that ask for readiness, targets with slots, queues and announcements, callers with copies and repeats, and the store's stand-in. Each process calls the store, the others and takes announcements through a proxy (toxiproxy). rig soak draws faults from a seed, alone and overlapping: kills, all killed, pauses, restarts, SIGHUP, links delayed, reset, silent or one way, lost packets, targets that die or are released, a store that forgets, plan changes. Callers and targets judge: live flows reset, wrong route, drained targets, answers crossed, requests run twice, flows open twice, plans in force in 3 s, recovery in 12 s, stop within the grace time. platform/ gains what callers, targets and the operator send (stand-ins only); the platform's form honours controlRoutes. Not emulated: clocks (they need rights that tests don't have), delays of datagrams between our instances.

--- a/agent/cmd/carrier.go
+++ b/agent/cmd/carrier.go
@@ -77,7 +77,7 @@
 			Instance: s.Instance, Role: facts.RoleAgent, DataCentre: s.DataCentre, Service: s.Service,
 			Packets: s.Packets, Control: s.Control, State: facts.StateServing,
 		},
-		Store: parts.Store, Format: parts.Format, Logger: logger, Seeds: s.Entries,
+		Routes: s.ControlRoutes, Store: parts.Store, Format: parts.Format, Logger: logger, Seeds: s.Entries,
 		OnMembers: a.onMembers, OnPlan: a.onPlan, OnOwn: a.restore,
 	}
 	carrier.Gauge("coltsfootline_flows", func() float64 {
--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -31,8 +31,10 @@
 
 // Node is an instance among the others: membership, its entry in the store, and the plan.
 type Node struct {
-	Self   facts.Member
-	Seeds  []netip.AddrPort
+	Self  facts.Member
+	Seeds []netip.AddrPort
+	// Routes are the instances that are not reached at their own control addresses.
+	Routes []peer.Route
 	Store  *store.Client
 	Format plan.Format
 	Logger *slog.Logger
@@ -54,7 +56,7 @@
 
 // Start joins the others until ctx ends. Handlers are answered besides the node's own.
 func (n *Node) Start(ctx context.Context, handlers map[string]peer.Handler) error {
-	n.pool = &peer.Pool{Logger: n.Logger}
+	n.pool = &peer.Pool{Logger: n.Logger, Routes: n.Routes}
 	n.started = time.Now()
 	n.Plans = &Plans{
 		Store: n.Store, Format: n.Format, Pool: n.pool, Logger: n.Logger, OnPlan: n.takePlan, Watches: n.watches,
--- a/rig/cluster/process.go
+++ b/rig/cluster/process.go
@@ -53,19 +53,41 @@
 }
 
 func startProcess(directory, name, program string, arguments ...string) (*Process, error) {
-	log, err := os.Create(filepath.Join(directory, name+".log"))
+	p, err := newProcess(directory, name, program, arguments)
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{Name: name, command: exec.Command(program, arguments...), log: log, done: make(chan struct{})}
 	p.command.Stdout = &p.output
+	return p, p.start()
+}
+
+// StartLogged starts a program whose standard output goes to the log, which is continued when it exists.
+func StartLogged(directory, name, program string, arguments ...string) (*Process, error) {
+	p, err := newProcess(directory, name, program, arguments)
+	if err != nil {
+		return nil, err
+	}
+	p.command.Stdout = p.log
+	return p, p.start()
+}
+
+func newProcess(directory, name, program string, arguments []string) (*Process, error) {
+	log, err := os.OpenFile(filepath.Join(directory, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{Name: name, command: exec.Command(program, arguments...), log: log, done: make(chan struct{})}
 	p.command.Stderr = log
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return p, nil
+}
+
+func (p *Process) start() error {
 	if err := p.command.Start(); err != nil {
-		return nil, err
+		return err
 	}
 	go p.run()
-	return p, nil
+	return nil
 }
 
 func (p *Process) run() {
--- a/rig/cmd/root.go
+++ b/rig/cmd/root.go
@@ -15,6 +15,7 @@
 	root.AddCommand(
 		newDemoCmd(),
 		newMeasureCmd(),
+		newSoakCmd(),
 		newStoreCmd(),
 		newFabricCmd(),
 		newTargetCmd(),
--- /dev/null
+++ b/rig/cmd/soak_test.go
@@ -0,0 +1,48 @@
+package cmd
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootline/coltsfootline/rig/cluster"
+	"github.com/coltsfootline/coltsfootline/rig/site"
+)
+
+// TestShortSoak runs the soak with a few seeds; seeds that ever failed belong here, each with its cause.
+func TestShortSoak(t *testing.T) {
+	directory := t.TempDir()
+	programs, err := cluster.Build(context.Background(), directory)
+	require.NoError(t, err)
+	for _, seed := range []uint64{1, 2} {
+		ctx, cancel := context.WithCancel(context.Background())
+		o := site.Options{
+			Directory: filepath.Join(directory, "site"), Programs: programs, Seed: seed, Entries: 3, Agents: 2, Callers: 3,
+		}
+		require.NoError(t, os.MkdirAll(o.Directory, 0o700))
+		s, err := site.New(ctx, o)
+		require.NoError(t, err)
+		r, err := site.RunSoak(ctx, s, 4*time.Second, nil)
+		require.NoError(t, err)
+		if len(r.Broken) > 0 {
+			var logs strings.Builder
+			s.Logs(&logs)
+			t.Log(logs.String())
+		}
+		s.Close()
+		cancel()
+		require.Empty(t, r.Broken, "seed %d, faults %v", seed, r.Faults)
+		require.NotZero(t, r.Outcomes[site.OutcomeServed])
+	}
+}
+
+func TestSoakNamesItsFaults(t *testing.T) {
+	require.Contains(t, site.FaultNames(), "killAll")
+	_, err := site.RunSoak(context.Background(), nil, time.Second, []string{"weather"})
+	require.ErrorContains(t, err, "no kind of fault is called weather")
+}
