--- a/kernel/flow/load.go
+++ b/kernel/flow/load.go
@@ -97,6 +97,7 @@
 		}
 		e.choices = append(e.choices, l)
 		e.options = append(e.options, placement.FlowOption{
+			Instance:    r.host.Instance,
 			Near:        r.host.DataCentre == e.DataCentre,
 			Outstanding: l.outstanding,
 			Flows:       l.flows,
--- a/kernel/placement/flow.go
+++ b/kernel/placement/flow.go
@@ -8,6 +8,7 @@
 
 // FlowOption is a host that a new flow may go to, as one entry sees it.
 type FlowOption struct {
+	Instance string
 	// Near says that the host is in the entry's data centre.
 	Near bool
 	// Outstanding is how many requests of this entry the host works on.
@@ -36,6 +37,7 @@
 func init() {
 	FlowPolicies.Register("hash", FlowHash{})
 	FlowPolicies.Register("leastWait", LeastWait{})
+	FlowPolicies.Register("roundRobin", &RoundRobin{})
 }
 
 // FlowHash takes the first option, which spreads flows by their hash alone.
@@ -46,6 +48,31 @@
 	return 0
 }
 
+// maxTaken bounds the instances that RoundRobin remembers: several times a large service's.
+const maxTaken = 4096
+
+// RoundRobin takes the option that it took longest ago, or never. The zero value is ready to use from one goroutine.
+type RoundRobin struct {
+	turn  uint64
+	taken map[string]uint64
+}
+
+// Choose returns the option that was taken longest ago.
+func (r *RoundRobin) Choose(options []FlowOption) int {
+	if r.taken == nil || len(r.taken) > maxTaken {
+		r.taken = map[string]uint64{}
+	}
+	best := 0
+	for i, o := range options {
+		if r.taken[o.Instance] < r.taken[options[best].Instance] {
+			best = i
+		}
+	}
+	r.turn++
+	r.taken[options[best].Instance] = r.turn
+	return best
+}
+
 // LeastWait takes the host where a request is expected to be answered first.
 type LeastWait struct{}
 
--- a/kernel/placement/flow_test.go
+++ b/kernel/placement/flow_test.go
@@ -29,3 +29,14 @@
 func TestFlowHashTakesTheFirst(t *testing.T) {
 	require.Zero(t, FlowHash{}.Choose([]FlowOption{{Busy: true}, {}}))
 }
+
+func TestRoundRobinTakesEachInTurn(t *testing.T) {
+	var r RoundRobin
+	options := []FlowOption{{Instance: "a"}, {Instance: "b"}, {Instance: "c"}}
+	taken := map[int]int{}
+	for range 9 {
+		taken[r.Choose(options)]++
+	}
+	require.Equal(t, map[int]int{0: 3, 1: 3, 2: 3}, taken)
+	require.Equal(t, 1, r.Choose([]FlowOption{{Instance: "c"}, {Instance: "new"}}))
+}
