--- a/kernel/peer/fleet_test.go
+++ b/kernel/peer/fleet_test.go
@@ -122,7 +122,7 @@
 
 // BenchmarkFleet gives the slopes for docs/CAPACITY.md: what an instance costs in a quiet fleet and how long a change takes.
 func BenchmarkFleet(b *testing.B) {
-	for _, agents := range []int{5, 10, 20, 40} {
+	for _, agents := range []int{5, 10, 20, 40, 100} {
 		b.Run(fmt.Sprint(agents), func(b *testing.B) {
 			var before, after runtime.MemStats
 			runtime.GC()
