--- a/coltsfootline/cmd/explainCmd.go
+++ b/coltsfootline/cmd/explainCmd.go
@@ -25,6 +25,14 @@
 	return "no record names " + e.What + "; if it is a request that no agent saw, give its caller with --flow ADDRESS:PORT"
 }
 
+// NoRequestError reports a call without a request's id.
+type NoRequestError struct{}
+
+// Error says what is expected.
+func (*NoRequestError) Error() string {
+	return "expected a request's id or --flow"
+}
+
 type explainCmd struct {
 	flow string
 	json bool
@@ -49,7 +57,7 @@
 	id := ""
 	if e.flow == "" {
 		if len(arguments) == 0 {
-			return errors.WithStack(&command.UsageError{Cause: errors.New("expected a request's id or --flow")})
+			return errors.WithStack(&command.UsageError{Cause: &NoRequestError{}})
 		}
 		id, arguments = arguments[0], arguments[1:]
 	}
--- a/kernel/control/auditor.go
+++ b/kernel/control/auditor.go
@@ -63,16 +63,7 @@
 }
 
 func (a *Auditor) run(ctx context.Context) {
-	ticker := time.NewTicker(auditPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			a.Flush(ctx, now)
-		}
-	}
+	every(ctx, auditPeriod, func(now time.Time) { a.Flush(ctx, now) })
 }
 
 // NotePlan notes a plan that came into force. It does not block.
--- a/kernel/control/collect.go
+++ b/kernel/control/collect.go
@@ -19,14 +19,19 @@
 
 // loop removes the entries of instances that are gone for good.
 func (r *Register) loop(ctx context.Context) {
-	ticker := time.NewTicker(collectPeriod)
+	every(ctx, collectPeriod, func(now time.Time) { r.Collect(ctx, now) })
+}
+
+// every calls f once in a period until ctx ends.
+func every(ctx context.Context, period time.Duration, f func(now time.Time)) {
+	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			r.Collect(ctx, now)
+			f(now)
 		}
 	}
 }
