--- a/entry/cmd/carrier.go
+++ b/entry/cmd/carrier.go
@@ -144,11 +144,12 @@
 	e.core.Sweep(now)
 	e.queries.Run(now)
 	e.flows.Store(int64(e.core.Flows()))
-	for more := true; more && time.Since(now) < searchBudget; {
+	carrier.Spend(searchBudget, func() bool {
 		e.output.Clear()
-		more = e.core.Search(now, behind, &e.output)
+		more := e.core.Search(now, behind, &e.output)
 		e.recorder.Record(now, &e.output, carrier.Deliver(e.socket, &e.output))
-	}
+		return more
+	})
 	e.recorder.Tick(now)
 }
 
