--- a/rig/site/site.go
+++ b/rig/site/site.go
@@ -315,7 +315,7 @@
 	return true
 }
 
-// Logs copies the last lines of every node's log, for a run that failed.
+// Logs copies every node's log, for a run that failed.
 func (s *Site) Logs(w io.Writer) {
 	for _, n := range s.nodes {
 		text, err := os.ReadFile(filepath.Join(s.Directory, n.name+".log"))
