Two agents at one address no longer stop entries: one host an address, the other is retired

Cause: a target crashes and its address goes to another service while agents are cut off from the store. The store then holds two agents with one packet address. Directory.byAddress kept one of them and byService both; the load of the one that byAddress lacked had no host, and place dereferenced it: every entry ended with each new flow, again after each restart. Ruled out: skipping a host without a load in place only hides the second host; its denial would still count in searches. Change: facts.ResolveAddresses decides who holds an address (one that responds before one that is down, then the later incarnation, then the name). The directory contains only holders, entries log addressTaken once per conflict, entries mark a loser that is down as left (memberRetired), and the first entry removes its store object at the next collection. An object may also be removed again when its instance returned and went down once more (CollectStale did it once only).

--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -44,6 +45,9 @@
 	// directory and plan are the latest ones. The control goroutine writes them and the packet loop reads them.
 	directory atomic.Pointer[flow.Directory]
 	plan      atomic.Pointer[plan.Plan]
+	// addressHolders maps the agents that lost their address to the ones that hold it. Only the control goroutine accesses
+	// it.
+	addressHolders map[string]string
 	// current is what flowEntry uses. Only the packet loop accesses it.
 	current      snapshot
 	shuttingDown atomic.Bool
@@ -178,10 +182,25 @@
 
 // onMembers replaces the directory of hosts after a change of members. It runs on the control goroutine.
 func (e *passthroughEntry) onMembers(_ time.Time, members []facts.Member) {
-	e.directory.Store(flow.NewDirectory(members))
+	d := flow.NewDirectory(members)
+	e.logConflicts(d.Conflicts)
+	e.directory.Store(d)
 	e.updateReady()
 }
 
+// logConflicts logs the agents that lost their address since the previous call. It runs on the control goroutine.
+func (e *passthroughEntry) logConflicts(conflicts []facts.AddressConflict) {
+	current := make(map[string]string, len(conflicts))
+	for _, c := range conflicts {
+		current[c.Loser.Instance] = c.Holder.Instance
+		if e.addressHolders[c.Loser.Instance] != c.Holder.Instance {
+			events.AddressTaken.Log(e.process.Logger, slog.String("member", c.Loser.Instance), slog.String("to", c.Holder.Instance),
+				slog.String("address", c.Holder.Packets.Addr().String()), slog.String("state", string(c.Loser.State)))
+		}
+	}
+	e.addressHolders = current
+}
+
 // onPlan replaces the plan.
 func (e *passthroughEntry) onPlan(p *plan.Plan) {
 	e.plan.Store(p)
--- a/kernel/control/collect.go
+++ b/kernel/control/collect.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// CollectStale removes the store objects of members that have been down for DownRetention and returns the names of
-// these members. It does nothing unless this instance is the first serving entry. A member that returns writes its
+// CollectStale removes the store objects of members that have been down for DownRetention, or whose address another
+// member holds, and returns the names of these members. It does nothing unless this instance is the first serving entry. A member that returns writes its
 // object again.
 func (r *Registrar) CollectStale(ctx context.Context, now time.Time) []string {
 	members := r.Gossip.View().Members
@@ -46,8 +46,10 @@
 	}
 	var removed []string
 	downSince := map[string]time.Time{}
+	holders, _ := facts.ResolveAddresses(members)
 	for _, m := range members {
 		if m.State != facts.StateDown && m.State != facts.StateLeft {
+			delete(r.removed, m.Instance)
 			continue
 		}
 		since, known := r.downSince[m.Instance]
@@ -55,7 +57,9 @@
 			since = now
 		}
 		downSince[m.Instance] = since
-		if known && now.Sub(since) >= DownRetention && !r.removed[m.Instance] {
+		holder, taken := holders[m.Packets.Addr()]
+		superseded := taken && m.Role == facts.RoleAgent && holder.Instance != m.Instance
+		if known && (superseded || now.Sub(since) >= DownRetention) && !r.removed[m.Instance] {
 			if err := r.Store.Delete(ctx, KindInstances, m.Instance, 0); err != nil {
 				events.StoreUnavailable.Log(r.Logger, events.ErrorAttr(err))
 				continue
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -16,6 +16,8 @@
 	SelfRefuted         = define(114, "selfRefuted", slog.LevelWarn, "other instances had a newer state of this instance, usually that it is down; it published its own with a higher version")
 	PeerFailed          = define(115, "peerFailed", slog.LevelWarn, "fetching a newer plan from a peer failed")
 	PeerProtocol        = define(116, "peerProtocol", slog.LevelDebug, "message from the JSON-RPC library about a control connection")
+	AddressTaken        = define(117, "addressTaken", slog.LevelWarn, "member gets no traffic because another one holds its address: one that responds if the other is down, otherwise the one that started later")
+	MemberRetired       = define(118, "memberRetired", slog.LevelWarn, "member that is down has lost its address to another one and counts as left")
 	RecordsLeftOut      = define(120, "recordsLeftOut", slog.LevelInfo, "records of one event exceeded the rate limit and were not logged; count: records suppressed")
 	DependencyLost      = define(121, "dependencyLost", slog.LevelWarn, "dependency stopped responding; the last accepted state stays in use")
 	DependencyRegained  = define(122, "dependencyRegained", slog.LevelInfo, "dependency responds again; ageMs: time since it stopped responding")
--- a/kernel/facts/detector.go
+++ b/kernel/facts/detector.go
@@ -133,15 +133,42 @@
 
 // downFact returns a fact that marks a member down. It returns false if the member is unknown, down or has left.
 func downFact(s *Set, instance string) (Fact, bool) {
+	return nextFact(s, instance, func(m *Member) bool {
+		active := m.State != StateDown && m.State != StateLeft
+		m.State = StateDown
+		return active
+	})
+}
+
+// RetireSuperseded returns facts that mark as left the members that are down and have lost their address to another
+// one. A member that responds is not retired, because it would refute the fact.
+func RetireSuperseded(s *Set, members []Member) []Fact {
+	var retired []Fact
+	_, conflicts := ResolveAddresses(members)
+	for _, c := range conflicts {
+		f, ok := nextFact(s, c.Loser.Instance, func(m *Member) bool {
+			down := m.State == StateDown
+			m.State = StateLeft
+			return down && c.Holder.State != StateDown
+		})
+		if ok {
+			retired = append(retired, f)
+		}
+	}
+	return retired
+}
+
+// nextFact returns the next version of a member's fact, changed by update. It returns false if the member is unknown or
+// update does.
+func nextFact(s *Set, instance string, update func(m *Member) bool) (Fact, bool) {
 	held, ok := s.Get(Key{Kind: KindMember, Name: instance})
 	if !ok {
 		return Fact{}, false
 	}
 	m, err := DecodeMember(held)
-	if err != nil || m.State == StateDown || m.State == StateLeft {
+	if err != nil || !update(&m) {
 		return Fact{}, false
 	}
-	m.State = StateDown
 	f, err := m.Fact(held.Incarnation, held.Version+1)
 	return f, err == nil
 }
--- a/kernel/facts/member.go
+++ b/kernel/facts/member.go
@@ -42,6 +42,8 @@
 	// Target is set if the agent forwards flows to a target that terminates them. It is nil for an agent that
 	// terminates its flows itself and for an entry.
 	Target *Target `json:"target,omitempty"`
+	// Incarnation is that of the fact that the member was decoded from, and 0 for a member that was not decoded.
+	Incarnation uint64 `json:"-"`
 }
 
 // Fact encodes the member as a fact with the given incarnation and version.
@@ -75,5 +77,6 @@
 	if err := json.Unmarshal([]byte(f.Body), &m); err != nil {
 		return Member{}, &BodyError{Name: f.Name, Cause: err}
 	}
+	m.Incarnation = f.Incarnation
 	return m, nil
 }
--- a/kernel/flow/directory.go
+++ b/kernel/flow/directory.go
@@ -41,13 +41,18 @@
 	byService map[string]*Group
 	byAddress map[netip.Addr]*Host
 	placeable int
+	// Conflicts holds the agents that are left out because another one holds their address.
+	Conflicts []facts.AddressConflict
 }
 
-// NewDirectory returns the directory of the given members.
+// NewDirectory returns the directory of the given members. Of several agents with one packet address, it contains only
+// the one that holds the address.
 func NewDirectory(members []facts.Member) *Directory {
 	d := &Directory{byService: map[string]*Group{}, byAddress: map[netip.Addr]*Host{}}
+	var holders map[netip.Addr]facts.Member
+	holders, d.Conflicts = facts.ResolveAddresses(members)
 	for _, m := range members {
-		if !mayHoldFlows(m) {
+		if !mayHoldFlows(m) || holders[m.Packets.Addr()].Instance != m.Instance {
 			continue
 		}
 		h := &Host{
--- a/kernel/peer/gossip.go
+++ b/kernel/peer/gossip.go
@@ -245,7 +245,8 @@
 	return r
 }
 
-// markSilentMembers marks members down that have been silent for too long. This instance counts as connected if a peer
+// markSilentMembers marks members down that have been silent for too long, and retires those whose address another
+// member has taken over. This instance counts as connected if a peer
 // replied recently or if there are no peers to call.
 func (g *Gossip) markSilentMembers(now time.Time) {
 	g.detector.SetExpected(g.expected, now)
@@ -254,6 +255,10 @@
 		events.MemberSilent.Log(g.Logger, slog.String("member", f.Name))
 		g.Accept(now, []facts.Fact{f})
 	}
+	for _, f := range facts.RetireSuperseded(&g.set, g.view.Load().Members) {
+		events.MemberRetired.Log(g.Logger, slog.String("member", f.Name))
+		g.Accept(now, []facts.Fact{f})
+	}
 }
 
 // publishSelf adds a new version of this instance's member fact.
