--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -152,6 +152,7 @@
 // Tick expires flows, runs one queued task and continues searches. It runs on the packet loop's goroutine.
 func (e *passthroughEntry) Tick(now time.Time, overloaded bool) {
 	e.applyUpdates(now)
+	e.releaseHeld(now)
 	e.flowEntry.Sweep(now)
 	e.tasks.RunOne(now)
 	e.flowCount.Store(int64(e.flowEntry.FlowCount()))
@@ -178,6 +179,14 @@
 	}
 	e.current = latest
 	e.flowEntry.Update(now, latest.plan, latest.directory)
+	e.releaseHeld(now)
+}
+
+// releaseHeld places the SYNs that waited for the first host of their service.
+func (e *passthroughEntry) releaseHeld(now time.Time) {
+	e.output.Clear()
+	e.flowEntry.ReleaseHeld(now, &e.output)
+	e.recorder.Record(now, &e.output, dataplane.SendAll(e.socket, &e.output))
 }
 
 // onMembers replaces the directory of hosts after a change of members. It runs on the control goroutine.
--- a/kernel/control/auditor.go
+++ b/kernel/control/auditor.go
@@ -53,6 +53,10 @@
 
 	mutex   sync.Mutex
 	pending []audit.Record
+	// dropped counts the records dropped since the last call of Flush. taken counts the pending records that a write in
+	// progress contains.
+	dropped int
+	taken   int
 	members map[string]facts.Member
 	plan    *plan.Plan
 	health  dependencyHealth
@@ -109,32 +113,50 @@
 func (a *Auditor) enqueue(r audit.Record) {
 	if len(a.pending) == maxPendingRecords {
 		a.pending = a.pending[1:]
-		events.AuditDropped.Log(a.Logger, slog.Int("count", 1))
+		if a.taken > 0 {
+			a.taken--
+		} else {
+			a.dropped++
+		}
 	}
 	a.pending = append(a.pending, r)
 }
 
+// logDropped logs how many records were dropped since the previous call. The trail lacks only those of the writer.
+func (a *Auditor) logDropped() {
+	a.mutex.Lock()
+	dropped := a.dropped
+	a.dropped = 0
+	a.mutex.Unlock()
+	if dropped > 0 && a.IsWriter() {
+		events.AuditDropped.Log(a.Logger, slog.Int("count", dropped))
+	}
+}
+
 // Flush writes the pending records to the store if this instance is the writer. Records that can't be written stay
 // pending until the next call.
 func (a *Auditor) Flush(ctx context.Context, now time.Time) {
+	a.logDropped()
 	if !a.IsWriter() {
 		a.dropExpired(now)
 		return
 	}
 	a.mutex.Lock()
 	records := append([]audit.Record(nil), a.pending...)
+	a.taken = len(records)
 	a.mutex.Unlock()
 	if len(records) == 0 {
 		return
 	}
 	err := a.writeTrail(ctx, records)
 	a.health.observe(err)
-	if err != nil {
-		return
-	}
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.pending = a.pending[min(len(records), len(a.pending)):]
+	if err == nil {
+		// enqueue may have dropped some of the written records during the write.
+		a.pending = a.pending[a.taken:]
+	}
+	a.taken = 0
 }
 
 func (a *Auditor) dropExpired(now time.Time) {
--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -25,6 +25,8 @@
 	watchersPerDataCentre = 2
 	// initialPeerWait is how long an instance without a plan waits for one from its peers before it reads the store.
 	initialPeerWait = 150 * time.Millisecond
+	// agentSeedDelay is how long an agent waits for members from the store before it turns to the seeds.
+	agentSeedDelay = time.Second
 	// peerSilenceLimit is the time without an answer from any peer after which an instance reads the store itself.
 	peerSilenceLimit = 1200 * time.Millisecond
 )
@@ -73,6 +75,9 @@
 		Period:         exchangePeriod,
 		Plan:           n.Plans,
 	}
+	if n.Self.Role == facts.RoleAgent {
+		n.Gossip.SeedDelay = agentSeedDelay
+	}
 	n.Registrar = &Registrar{Store: n.Store, Gossip: n.Gossip, Logger: n.Logger, OnRestore: n.OnRestore}
 	n.Registrar.prepare()
 	if n.Self.Role == facts.RoleEntry {
--- a/kernel/control/registrar.go
+++ b/kernel/control/registrar.go
@@ -27,6 +27,11 @@
 	maxRetryDelay = 1200 * time.Millisecond
 	// isolatedListInterval is how often an instance lists the members in the store while no peer answers.
 	isolatedListInterval = 300 * time.Millisecond
+	// agentListDelay and agentListSpread determine when after its start an agent lists the members: after the delay and a
+	// random part of the spread. Entries list at once. After a loss of power all instances start together, and the
+	// listings of the agents, which serve without one, would hold up those of the entries on the store's link.
+	agentListDelay  = 150 * time.Millisecond
+	agentListSpread = 400 * time.Millisecond
 	// writeCoalesceDelay is the delay before a write, so that changes in quick succession are written at once.
 	writeCoalesceDelay = 20 * time.Millisecond
 )
@@ -72,14 +77,19 @@
 	}
 }
 
-// run lists the members and then writes this instance's fact after each change until ctx is cancelled.
+// run reads what the store knows, and then writes this instance's fact after each change until ctx is cancelled.
 func (r *Registrar) run(ctx context.Context) {
-	// The list precedes the first write, because it contains what this instance knew of its target before its start.
-	if !r.retry(ctx, r.listMembers) {
+	// The read precedes the first write, because it returns what this instance knew of its target before its start.
+	first, listDelay := r.listMembers, isolatedListInterval
+	if r.Gossip.Self.Role == facts.RoleAgent {
+		first, listDelay = r.readSelf, agentListDelay+rand.N(agentListSpread)
+	}
+	if !r.retry(ctx, first) {
 		return
 	}
-	ticker := time.NewTicker(isolatedListInterval)
-	defer ticker.Stop()
+	list := time.NewTimer(listDelay)
+	defer list.Stop()
+	listed := r.Gossip.Self.Role != facts.RoleAgent
 	for {
 		select {
 		case <-ctx.Done():
@@ -90,12 +100,13 @@
 				return
 			}
 			continue
-		case now := <-ticker.C:
+		case now := <-list.C:
 			// List again while no peer answers: instances that start at the same time may list before any of them has
 			// written its object.
-			if now.Sub(r.Gossip.LastReply()) > peerSilenceLimit {
-				r.listMembers(ctx)
+			if !listed || now.Sub(r.Gossip.LastReply()) > peerSilenceLimit {
+				listed = r.listMembers(ctx) || listed
 			}
+			list.Reset(isolatedListInterval)
 		}
 	}
 }
@@ -111,6 +122,27 @@
 	return true
 }
 
+// readSelf reads this instance's object. It reports whether the call succeeded, also if there is no object.
+func (r *Registrar) readSelf(ctx context.Context) bool {
+	o, err := r.Store.Get(ctx, KindInstances, r.Gossip.Self.Instance)
+	var missing *store.NotFoundError
+	if errors.As(err, &missing) {
+		r.health.observe(nil)
+		return true
+	}
+	r.health.observe(err)
+	if err != nil {
+		return false
+	}
+	f, ok := decodeFact(o)
+	if !ok {
+		events.FactRefused.Log(r.Logger, slog.String("object", o.Name), slog.Uint64("revision", o.Revision))
+		return true
+	}
+	r.restoreSelf(f)
+	return r.Gossip.Do(ctx, func(now time.Time) { r.Gossip.Accept(now, []facts.Fact{f}) })
+}
+
 // listMembers accepts the valid member facts in the store. It reports whether the call succeeded.
 func (r *Registrar) listMembers(ctx context.Context) bool {
 	page, err := r.Store.List(ctx, KindInstances)
@@ -129,7 +161,10 @@
 		r.restoreSelf(f)
 	}
 	events.MembersRead.Log(r.Logger, slog.Int("members", len(all)), slog.Uint64("revision", page.Revision))
-	return r.Gossip.Do(ctx, func(now time.Time) { r.Gossip.Accept(now, all) })
+	return r.Gossip.Do(ctx, func(now time.Time) {
+		r.Gossip.Accept(now, all)
+		r.Gossip.ExchangeNow(ctx, now)
+	})
 }
 
 // restoreSelf passes the stored fact about this instance to OnRestore. It ignores facts about other members.
@@ -137,8 +172,9 @@
 	if f.Name != r.Gossip.Self.Instance {
 		return
 	}
+	known := r.objectExists
 	r.objectExists = true
-	if r.OnRestore == nil {
+	if r.OnRestore == nil || known {
 		return
 	}
 	if m, err := facts.DecodeMember(f); err == nil {
--- a/kernel/flow/directory.go
+++ b/kernel/flow/directory.go
@@ -32,6 +32,8 @@
 // Group is the set of hosts of one service that may hold flows, sorted by instance name.
 type Group struct {
 	Hosts []*Host
+	// Placeable is the number of hosts that new flows may be placed on.
+	Placeable int
 	// Digest is a hash of the hosts and their targets' incarnations. Groups with equal digests are taken to be equal.
 	Digest uint64
 }
@@ -92,6 +94,7 @@
 	g.Hosts = append(g.Hosts, h)
 	d.byAddress[h.Packets.Addr()] = h
 	if h.Placeable {
+		g.Placeable++
 		d.placeable++
 	}
 }
@@ -119,29 +122,66 @@
 	return d.placeable
 }
 
-// rank orders the hosts for a flow by rendezvous hashing, highest score first. It reuses the memory of buffer. All
-// entries get the same order, so a search can first ask the hosts on which another entry may have placed the flow.
-func (g *Group) rank(f gue.Flow, buffer []rankedHost) []rankedHost {
+const (
+	// localCandidates and remoteCandidates are how many hosts of the entry's own data centre and of others come first in
+	// the order of a flow. Placement chooses among them, and a search asks them first.
+	localCandidates  = 6
+	remoteCandidates = 2
+)
+
+// rank orders the hosts for a flow, most likely holder first. It reuses the memory of buffer. The order follows from
+// rendezvous hashing: first localCandidates hosts of the given data centre and remoteCandidates of others, then the
+// rest. All entries of a data centre, which receive the packets of the same callers, get the same order.
+func (g *Group) rank(f gue.Flow, dataCentre string, buffer []rankedHost) []rankedHost {
 	buffer = buffer[:0]
 	key := f.Hash(gue.Key{})
 	for _, h := range g.Hosts {
 		buffer = append(buffer, rankedHost{host: h, score: fmix64(key ^ h.nameHash)})
 	}
-	slices.SortFunc(buffer, func(a, b rankedHost) int {
-		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
+	slices.SortFunc(buffer, rankedHost.compare)
+	local, remote := 0, 0
+	for i := range buffer {
+		r := &buffer[i]
+		if r.host.DataCentre == dataCentre {
+			local++
+			r.preferred = local <= localCandidates
+		} else {
+			remote++
+			r.preferred = remote <= remoteCandidates
 		}
-		return strings.Compare(a.host.Instance, b.host.Instance)
-	})
+	}
+	slices.SortStableFunc(buffer, func(a, b rankedHost) int { return a.class(dataCentre) - b.class(dataCentre) })
 	return buffer
 }
 
 type rankedHost struct {
 	host  *Host
 	score uint64
+	// preferred is set for the hosts with the highest scores of the entry's data centre and of the others.
+	preferred bool
+}
+
+// compare orders hosts by score, highest first.
+func (r rankedHost) compare(o rankedHost) int {
+	switch {
+	case r.score > o.score:
+		return -1
+	case r.score < o.score:
+		return 1
+	}
+	return strings.Compare(r.host.Instance, o.host.Instance)
+}
+
+// class returns the position of the host's class in the order of rank.
+func (r rankedHost) class(dataCentre string) int {
+	class := 0
+	if r.host.DataCentre != dataCentre {
+		class++
+	}
+	if !r.preferred {
+		class += 2
+	}
+	return class
 }
 
 // fmix64 is the finalizer of MurmurHash3.
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -55,7 +55,9 @@
 	groupChangeTimes map[uint64]time.Time
 	// searches holds the flows whose holder is being searched for.
 	searches map[gue.Flow]*entryFlow
-	flows    *simplelru.LRU[gue.Flow, *entryFlow]
+	// held holds the SYNs that wait for the first host of their service.
+	held  map[gue.Flow]heldSYN
+	flows *simplelru.LRU[gue.Flow, *entryFlow]
 	// hostLoads holds the load of each host, by instance name.
 	hostLoads map[string]*hostLoad
 	// The buffers avoid allocations in chooseHost and searchGroupFor. candidateBuffer and loadBuffer hold the same hosts
@@ -163,7 +165,9 @@
 		return
 	}
 	if e.plan == nil || e.directory == nil {
-		out.DropReason = gue.ReasonNoTarget
+		if !hdr.SYN || hdr.Mark.Code != CodeNone || !e.hold(now, hdr.FlowFromCaller(), packet) {
+			out.DropReason = gue.ReasonNoTarget
+		}
 		return
 	}
 	if hdr.Mark.Code != CodeNone {
--- a/kernel/flow/load.go
+++ b/kernel/flow/load.go
@@ -21,7 +21,7 @@
 	// dead host as down after 1.5 s.
 	synTimeoutPenalty = 400 * time.Millisecond
 	// maxCandidates bounds the hosts that the policy chooses from for one flow. A search asks as many hosts first.
-	maxCandidates = 8
+	maxCandidates = localCandidates + remoteCandidates
 )
 
 // hostLoad is one entry's view of a host's load.
@@ -94,7 +94,7 @@
 	if g == nil {
 		return nil
 	}
-	e.rankBuffer = g.rank(f, e.rankBuffer)
+	e.rankBuffer = g.rank(f, e.DataCentre, e.rankBuffer)
 	e.candidateBuffer = e.candidateBuffer[:0]
 	e.loadBuffer = e.loadBuffer[:0]
 	for _, r := range e.rankBuffer {
--- a/kernel/flow/placement.go
+++ b/kernel/flow/placement.go
@@ -15,7 +15,20 @@
 		e.forward(ef.holder, packet, Mark{Value: uint32(e.plan.Version)}, out)
 		return
 	}
+	if !e.hasPlaceableHost(f, route) && e.hold(now, f, packet) {
+		return
+	}
+	e.startFlow(now, f, route, packet, hdr, out)
+}
+
+// startFlow places the SYN of a flow whose holder is unknown.
+func (e *Entry) startFlow(now time.Time, f gue.Flow, route *plan.Route, packet []byte, hdr *Header, out *Output) {
+	ef, known := e.flows.Get(f)
 	if !known || ef.stage != stageOpening {
+		if known {
+			// The SYN begins a new flow, to which a search for the holder of the old one no longer applies.
+			e.endSearch(f, ef)
+		}
 		ef = &entryFlow{stage: stageIdle, waitingSince: now}
 		e.flows.Add(f, ef)
 	}
--- a/kernel/flow/search.go
+++ b/kernel/flow/search.go
@@ -129,7 +129,7 @@
 		if serviceGroup == nil {
 			continue
 		}
-		e.rankBuffer = serviceGroup.rank(f, e.rankBuffer)
+		e.rankBuffer = serviceGroup.rank(f, e.DataCentre, e.rankBuffer)
 		for _, r := range e.rankBuffer {
 			if hl := e.hostLoadOf(r.host.Instance); !r.host.Down || now.Sub(hl.downSince) < downHostWindow {
 				g.hosts = append(g.hosts, hl)
--- a/kernel/peer/choose.go
+++ b/kernel/peer/choose.go
@@ -3,6 +3,7 @@
 import (
 	"math/bits"
 	"net/netip"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -69,15 +70,74 @@
 			remote.add(c.address, score(selfHash, c.hash), localPeerCount+remotePeerCount)
 		}
 	}
-	remoteCount := remotePeerCount
-	if self.Role == facts.RoleAgent {
-		remoteCount = localPeerCount - local.count
-	} else if local.count < localPeerCount {
-		remoteCount = localPeerCount + remotePeerCount - local.count
-	}
+	remoteCount := remotePeersOf(self.Role, local.count)
 	return append(local.addresses(local.count), remote.addresses(min(remote.count, remoteCount))...)
 }
 
+// remotePeersOf returns how many entries of other data centres an instance exchanges with, given the number in its own.
+func remotePeersOf(r facts.Role, local int) int {
+	switch {
+	case r == facts.RoleAgent:
+		return localPeerCount - local
+	case local < localPeerCount:
+		return localPeerCount + remotePeerCount - local
+	}
+	return remotePeerCount
+}
+
+// candidateIndex holds candidates by data centre.
+type candidateIndex map[string][]candidate
+
+func indexCandidates(all []candidate) candidateIndex {
+	x := candidateIndex{}
+	for _, c := range all {
+		x[c.dataCentre] = append(x[c.dataCentre], c)
+	}
+	return x
+}
+
+// contains reports whether an entry is a candidate.
+func (x candidateIndex) contains(entry facts.Member) bool {
+	return slices.ContainsFunc(x[entry.DataCentre], func(c candidate) bool { return c.address == entry.Control })
+}
+
+// isChosen reports whether selectPeers returns the candidate self for the member. It computes few of the scores that
+// selectPeers does, because most members have better candidates among the first ones.
+func (x candidateIndex) isChosen(self, member facts.Member) bool {
+	memberHash := xxhash.Sum64String(member.Instance)
+	selfScore := score(memberHash, xxhash.Sum64String(self.Control.String()))
+	local := x[member.DataCentre]
+	if self.DataCentre == member.DataCentre {
+		return countBetter(local, member.Control, memberHash, selfScore, localPeerCount) < localPeerCount
+	}
+	localCount := len(local)
+	if slices.ContainsFunc(local, func(c candidate) bool { return c.address == member.Control }) {
+		localCount--
+	}
+	limit := remotePeersOf(member.Role, min(localCount, localPeerCount))
+	better := 0
+	for dataCentre, candidates := range x {
+		if better < limit && dataCentre != member.DataCentre {
+			better += countBetter(candidates, member.Control, memberHash, selfScore, limit-better)
+		}
+	}
+	return better < limit
+}
+
+// countBetter counts the candidates with a higher score than self's, up to limit.
+func countBetter(candidates []candidate, member netip.AddrPort, memberHash, selfScore uint64, limit int) int {
+	better := 0
+	for _, c := range candidates {
+		if better == limit {
+			break
+		}
+		if c.address != member && score(memberHash, c.hash) > selfScore {
+			better++
+		}
+	}
+	return better
+}
+
 // score returns the rendezvous weight of an entry for an instance, given the hashes of both. It is not symmetric: with
 // a symmetric score, mutual choices would be more frequent than by chance and could isolate groups of entries.
 func score(self, entry uint64) uint64 {
--- a/kernel/peer/choose_test.go
+++ b/kernel/peer/choose_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -56,6 +57,24 @@
 	}
 }
 
+// TestExpectedMembersAreThoseThatChooseTheEntry checks that the quick test of an entry agrees with the choice that the
+// members make, for data centres with few and with many entries.
+func TestExpectedMembersAreThoseThatChooseTheEntry(t *testing.T) {
+	for _, entries := range []int{1, 4, 7, 40} {
+		all := testMembers(entries, 30)
+		candidates := listCandidates(nil, all)
+		index := indexCandidates(candidates)
+		for _, self := range all[:entries] {
+			require.True(t, index.contains(self))
+			for _, m := range all {
+				if m.Instance != self.Instance {
+					require.Equal(t, slices.Contains(selectPeers(m, candidates), self.Control), index.isChosen(self, m))
+				}
+			}
+		}
+	}
+}
+
 // TestPeerChoicesAreNotSymmetric checks that mutual choices are not much more frequent than by chance. Otherwise
 // groups of entries that only choose each other would be isolated.
 func TestPeerChoicesAreNotSymmetric(t *testing.T) {
@@ -85,7 +104,8 @@
 	add := func(m facts.Member, version uint64) {
 		f, err := m.Fact(1, version)
 		require.NoError(b, err)
-		g.updateView(now, g.set.MergeAll([]facts.Fact{f}))
+		g.updateMembers(g.set.MergeAll([]facts.Fact{f}))
+		g.publishView(now)
 	}
 	for _, m := range all {
 		add(m, 1)
@@ -96,3 +116,23 @@
 		add(all[30], version)
 	}
 }
+
+// Pattern: all instances of a fleet return after a loss of power, and each publishes its new state. An entry must not
+// spend its core on a new view for each of them.
+func TestViewsAreSpacedWhileManyMembersChange(t *testing.T) {
+	var p viewPace
+	now := time.Unix(1000, 0)
+	const cost = 5 * time.Millisecond
+	require.LessOrEqual(t, p.wait(now), time.Duration(0), "a single change is published at once")
+	busy := time.Duration(0)
+	for end := now.Add(2 * time.Second); now.Before(end); now = now.Add(time.Millisecond) {
+		if p.wait(now) > 0 {
+			continue
+		}
+		p.done(now, now.Add(cost))
+		now, busy = now.Add(cost), busy+cost
+	}
+	require.Less(t, busy, 220*time.Millisecond)
+	p.done(now, now.Add(time.Hour))
+	require.LessOrEqual(t, p.wait(now.Add(time.Hour)), maxPublicationDelay)
+}
--- a/kernel/peer/gossip.go
+++ b/kernel/peer/gossip.go
@@ -66,6 +66,9 @@
 	OnSelfPublished func()
 	// DetectFailures enables failure detection: silent members are marked down.
 	DetectFailures bool
+	// SeedDelay is how long after the start the seeds are not used, so that the instance can learn of other peers from the
+	// store. The seeds of a large fleet can't serve all instances that start together.
+	SeedDelay time.Duration
 	// Period is the interval between exchanges with each peer. 0 means exchangePeriod.
 	Period time.Duration
 	// Plan provides the version of the plan in use and receives the versions that peers report. It may be nil.
@@ -73,7 +76,11 @@
 
 	set     facts.Set
 	version uint64
+	started time.Time
 	members map[string]facts.Member
+	// viewOutdated is set if facts were accepted since the view was published. viewPace spaces the publications.
+	viewOutdated bool
+	viewPace     viewPace
 	// expected holds the members that choose this instance as a peer.
 	expected map[string]bool
 	detector facts.Detector
@@ -200,10 +207,17 @@
 		return
 	}
 	g.refute(now, accepted)
-	g.updateView(now, accepted)
+	g.updateMembers(accepted)
 	g.disseminate(now, accepted)
 }
 
+// ExchangeNow starts an exchange with each peer before the next period begins. It must be called on the control
+// goroutine.
+func (g *Gossip) ExchangeNow(ctx context.Context, now time.Time) {
+	g.publishIfDue(now)
+	g.tick(ctx, now)
+}
+
 func (g *Gossip) loop(ctx context.Context) {
 	period := g.Period
 	if period == 0 {
@@ -211,7 +225,10 @@
 	}
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
-	g.publishSelf(time.Now())
+	publication := time.NewTimer(0)
+	defer publication.Stop()
+	g.started = time.Now()
+	g.publishSelf(g.started)
 	for {
 		select {
 		case <-ctx.Done():
@@ -220,10 +237,27 @@
 			task(time.Now())
 		case now := <-ticker.C:
 			g.tick(ctx, now)
+		case <-publication.C:
+		}
+		if wait := g.publishIfDue(time.Now()); wait > 0 {
+			publication.Reset(wait)
 		}
 	}
 }
 
+// publishIfDue publishes the view if it is outdated. It returns how long to wait if that is not due yet.
+func (g *Gossip) publishIfDue(now time.Time) time.Duration {
+	if !g.viewOutdated {
+		return 0
+	}
+	if wait := g.viewPace.wait(now); wait > 0 {
+		return wait
+	}
+	g.publishView(now)
+	g.viewPace.done(now, time.Now())
+	return 0
+}
+
 // tick starts an exchange with each peer.
 func (g *Gossip) tick(ctx context.Context, now time.Time) {
 	if g.DetectFailures {
@@ -293,11 +327,12 @@
 	}
 }
 
-// updateView replaces the view after facts were accepted and calls OnChange.
-func (g *Gossip) updateView(now time.Time, accepted []facts.Fact) {
+// updateMembers decodes accepted member facts. The next publication of the view contains them.
+func (g *Gossip) updateMembers(accepted []facts.Fact) {
 	if g.members == nil {
 		g.members = make(map[string]facts.Member)
 	}
+	g.viewOutdated = true
 	for _, f := range accepted {
 		if f.Kind != facts.KindMember {
 			continue
@@ -309,6 +344,11 @@
 		}
 		g.members[f.Name] = m
 	}
+}
+
+// publishView replaces the view by one of the current facts and calls OnChange.
+func (g *Gossip) publishView(now time.Time) {
+	g.viewOutdated = false
 	v := &View{Digest: g.set.Digest(), Members: make([]facts.Member, 0, len(g.members))}
 	for _, name := range slices.Sorted(maps.Keys(g.members)) {
 		v.Members = append(v.Members, g.members[name])
@@ -331,10 +371,11 @@
 		return
 	}
 	g.expected = map[string]bool{}
-	candidates := listCandidates(nil, members)
+	candidates := indexCandidates(listCandidates(nil, members))
+	selfListed := candidates.contains(g.Self)
 	for _, m := range members {
 		inactive := m.State == facts.StateDown || m.State == facts.StateLeft
-		if !inactive && m.Instance != g.Self.Instance && slices.Contains(selectPeers(m, candidates), g.Self.Control) {
+		if !inactive && selfListed && m.Instance != g.Self.Instance && candidates.isChosen(g.Self, m) {
 			g.expected[m.Instance] = true
 		}
 	}
@@ -360,11 +401,9 @@
 
 // pushToAgents pushes accepted facts from an entry to the agents that exchange with it.
 func (g *Gossip) pushToAgents(accepted []facts.Fact) {
-	if g.Self.Role != facts.RoleEntry {
-		return
-	}
-	for _, m := range g.view.Load().Members {
-		if m.Role != facts.RoleAgent || !g.detector.IsMonitored(m.Instance) {
+	for instance := range g.expected {
+		m := g.members[instance]
+		if m.Role != facts.RoleAgent || !g.detector.IsMonitored(instance) {
 			continue
 		}
 		if l, ok := g.links[m.Control]; ok {
@@ -378,14 +417,18 @@
 // others.
 func (g *Gossip) peers(now time.Time) []netip.AddrPort {
 	members := g.view.Load().Members
-	chosen := ChoosePeers(g.Self, g.Seeds, members)
+	seeds := g.Seeds
+	if now.Sub(g.started) < g.SeedDelay {
+		seeds = nil
+	}
+	chosen := ChoosePeers(g.Self, seeds, members)
 	failed := g.failedPeers(now)
 	isFailed := func(a netip.AddrPort) bool { return failed[a] }
 	if !slices.ContainsFunc(chosen, isFailed) {
 		return chosen
 	}
 	remaining := slices.DeleteFunc(slices.Clone(members), func(m facts.Member) bool { return isFailed(m.Control) })
-	seeds := slices.DeleteFunc(slices.Clone(g.Seeds), isFailed)
+	seeds = slices.DeleteFunc(slices.Clone(seeds), isFailed)
 	for _, a := range ChoosePeers(g.Self, seeds, remaining) {
 		if !slices.Contains(chosen, a) {
 			chosen = append(chosen, a)
--- a/kernel/peer/handlers.go
+++ b/kernel/peer/handlers.go
@@ -40,20 +40,15 @@
 
 // observePlanVersion passes on the plan version of a known member with the member's control address.
 func (g *Gossip) observePlanVersion(instance string, version uint64) {
-	for _, m := range g.view.Load().Members {
-		if m.Instance == instance {
-			g.Plan.ObserveVersion(version, m.Control)
-			return
-		}
+	if m, known := g.members[instance]; known {
+		g.Plan.ObserveVersion(version, m.Control)
 	}
 }
 
 // openAgentLink opens a link to an agent that exchanges with this entry, so that facts can be pushed to the agent.
 func (g *Gossip) openAgentLink(ctx context.Context, instance string) {
-	for _, m := range g.view.Load().Members {
-		if m.Instance == instance && m.Role == facts.RoleAgent {
-			g.link(context.WithoutCancel(ctx), m.Control)
-		}
+	if m, known := g.members[instance]; known && m.Role == facts.RoleAgent {
+		g.link(context.WithoutCancel(ctx), m.Control)
 	}
 }
 
--- a/kernel/peer/link.go
+++ b/kernel/peer/link.go
@@ -9,6 +9,11 @@
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
 )
 
+// flushInterval is the minimum time between two flushes of a link. A change on an idle link is sent at once. While many
+// members change, one message carries the changes of the interval; a change passes a large fleet in three flushes, which
+// is less than the time for which a group must be unchanged before a flow is reset.
+const flushInterval = 50 * time.Millisecond
+
 // link sends messages to one peer, one at a time. It queues only the last fact per key and the last exchange.
 type link struct {
 	gossip  *Gossip
@@ -58,6 +63,17 @@
 		case <-l.wake:
 			l.flush(ctx)
 		}
+		l.pause(ctx)
+	}
+}
+
+// pause waits for flushInterval.
+func (l *link) pause(ctx context.Context) {
+	t := time.NewTimer(flushInterval)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
 	}
 }
 
