Searches ask agents with one message for many flows instead of a packet a flow and host

Ruled out: slow targets (35 ms from 36 s on), unreachable agents (the six entries with 200 Mbit/s ended their searches). An agent that saw every SYN of its target's present process denies for it; only targets of unsure agents are sent a packet. A reset still needs a denial by every host with the same picture of the members.

--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -73,6 +73,7 @@
 		tracker:   announce.Tracker{Service: s.Service},
 		recorder:  dataplane.NewRecorder(logger, metrics.GetDefaultSet()),
 	}
+	a.flowAgent.Start(time.Now())
 	a.reloader = &reload.Reloader[*Settings]{File: reload.FileFromContext(ctx), New: defaultSettings, Logger: logger, Apply: a.applySettings}
 	a.process.Reload = a.reloader.Check
 	a.node = &control.Node{
@@ -216,6 +217,7 @@
 	}
 	now := time.Now()
 	a.mutex.Lock()
+	a.flowAgent.NoteStoredTarget(*m.Target)
 	restored := a.tracker.Restore(*m.Target)
 	if restored {
 		a.step(now, func(out *flow.Output) { a.flowAgent.UpdateTarget(now, *m.Target, false, out) })
--- a/entry/cmd/settings.go
+++ b/entry/cmd/settings.go
@@ -38,6 +38,9 @@
 	ReadinessPath string         `yaml:"readinessPath"`
 	// Policy is the name of the placement policy for new flows. It is used only with a Form.
 	Policy string `yaml:"policy"`
+	// LinkMbps is the capacity of the network link in Mbit/s. Searches use a part of it. 0 means that it is unknown. It is
+	// used only with a Form.
+	LinkMbps float64 `yaml:"linkMbps"`
 }
 
 // Validate returns all violations in the settings.
@@ -63,6 +66,7 @@
 		v.Require(strings.HasPrefix(s.ReadinessPath, "/"), "readinessPath", "a path")
 		v.RequireRegistered(flow.Codecs.Names(), s.Form, "form")
 		v.RequireRegistered(placement.FlowPolicies.Names(), s.Policy, "policy")
+		v.Require(s.LinkMbps >= 0, "linkMbps", "a number that is not negative")
 		return v
 	}
 	v.Require(s.HashKey != gue.Key{}, "hashKey", "32 hexadecimal digits, not all zero")
--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -31,7 +31,7 @@
 		return
 	}
 	af = &agentFlow{state: stateOpening, busySince: now, lastPacket: now}
-	a.flows.Add(f, af)
+	a.track(f, af)
 	a.setBusy(af, true, now)
 	a.handshakes = append(a.handshakes, handshake{flow: f, started: now})
 	a.sendToTarget(from.Addr(), packet, out)
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -52,6 +52,9 @@
 	started       time.Time
 	// leaving is set by RefuseNewFlows.
 	leaving bool
+	// sawAllSYNs is set if the agent has seen every SYN that the target's present incarnation has received, so that the
+	// target holds no other flows than the agent tracks.
+	sawAllSYNs bool
 	// digest holds the low 32 bits of the digest of the service's group, as known to this agent.
 	digest uint32
 	flows  *simplelru.LRU[gue.Flow, *agentFlow]
@@ -76,6 +79,8 @@
 	lastPacket time.Time
 	// lastAck is the acknowledgement number of the caller's latest packet.
 	lastAck uint32
+	// callerClosed is set once the caller has sent a FIN, or either end has reset the flow.
+	callerClosed bool
 	// locatingEntry is the entry that waits for an answer whether the target holds the flow. It is the zero Addr if no
 	// entry waits.
 	locatingEntry  netip.Addr
@@ -119,6 +124,9 @@
 func (a *Agent) UpdateTarget(now time.Time, t facts.Target, fromTarget bool, out *Output) {
 	a.ensureInitialized(now)
 	restarted := a.target != nil && !a.target.SameIncarnation(t)
+	if fromTarget && (restarted || a.lastHeartbeat.IsZero()) {
+		a.sawAllSYNs = a.sawStartOf(now, t)
+	}
 	a.target = &t
 	if fromTarget {
 		a.lastHeartbeat = now
@@ -146,6 +154,11 @@
 	return a.flows.Len()
 }
 
+// Start records when the agent's process started. Without it, the first call of another method counts as the start.
+func (a *Agent) Start(now time.Time) {
+	a.ensureInitialized(now)
+}
+
 func (a *Agent) ensureInitialized(now time.Time) {
 	if a.flows == nil {
 		a.started = now
@@ -165,6 +178,10 @@
 		out.DropReason = gue.ReasonTag
 		return
 	}
+	if hdr.Mark.Code == CodeAsk {
+		a.handleQuestion(from, packet, out)
+		return
+	}
 	f := hdr.FlowFromCaller()
 	if hdr.SYN {
 		a.handleSYN(now, from, f, packet, &hdr, out)
@@ -184,7 +201,7 @@
 	}
 	if !known {
 		af = &agentFlow{busySince: now}
-		a.flows.Add(f, af)
+		a.track(f, af)
 	}
 	if af.state == stateUnknown && !af.locatingEntry.IsValid() {
 		af.locatingEntry, af.locateReceived = from.Addr(), now
@@ -207,8 +224,9 @@
 	switch {
 	case hdr.RST:
 		a.setBusy(af, false, now)
-		af.state = stateClosed
+		af.state, af.callerClosed = stateClosed, true
 	case hdr.FIN:
+		af.callerClosed = true
 	case hdr.Length > 0:
 		// Flows that have ended, or whose holder is only being located, do not count as load.
 		if af.state == stateOpening || af.state == stateOpen {
--- a/kernel/flow/codec.go
+++ b/kernel/flow/codec.go
@@ -62,10 +62,14 @@
 	CodeRefused
 	// CodeFull returns a SYN to the entry because the target bounced it.
 	CodeFull
+	// CodeAsk asks an agent which of some flows its target holds.
+	CodeAsk
+	// CodeAnswers carries an agent's answers to a question.
+	CodeAnswers
 	codeCount
 )
 
-var codeNames = [codeCount]string{"none", "locate", "force", "notHere", "here", "maybe", "busy", "refused", "full"}
+var codeNames = [codeCount]string{"none", "locate", "force", "notHere", "here", "maybe", "busy", "refused", "full", "ask", "answers"}
 
 // String returns the camel-case name used in logs.
 func (c Code) String() string {
@@ -83,7 +87,7 @@
 	Value uint32
 }
 
-// Codec parses and modifies packets of one form. Its methods do not allocate.
+// Codec parses and modifies packets of one form. Its methods do not allocate, except for EncodeMessage.
 type Codec interface {
 	// Parse validates a packet and returns its header, or the reason to drop it.
 	Parse(packet []byte) (Header, gue.Reason)
@@ -92,6 +96,10 @@
 	// EncodeReset writes a reset from the service to the caller into buffer and returns it. acknowledged is the number
 	// that the caller last acknowledged, which makes the reset acceptable to it.
 	EncodeReset(buffer []byte, f gue.Flow, acknowledged uint32) []byte
+	// EncodeMessage returns a packet that carries data from one instance to another.
+	EncodeMessage(data []byte) []byte
+	// Data returns the data of a packet. The result aliases the packet.
+	Data(packet []byte) []byte
 	// RequestID returns the ID of the request that begins in a packet's data, or nil. The result aliases the packet.
 	RequestID(packet []byte) []byte
 	// HeaderLength returns the length of a packet without data, in bytes.
--- a/kernel/flow/codec_test.go
+++ b/kernel/flow/codec_test.go
@@ -42,6 +42,12 @@
 	return encode(Header{Source: f.Service, Destination: f.Caller, RST: true, Sequence: acknowledged})
 }
 
+func (testCodec) EncodeMessage(data []byte) []byte {
+	return append(encode(Header{Length: len(data)})[:testHeaderLength], data...)
+}
+
+func (testCodec) Data(p []byte) []byte { return p[testHeaderLength:] }
+
 func (testCodec) RequestID(p []byte) []byte { return p[testHeaderLength:] }
 
 func (testCodec) HeaderLength() int { return testHeaderLength }
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -46,6 +46,8 @@
 	DataCentre string
 	Codec      Codec
 	Policy     placement.FlowPolicy
+	// LinkMbps is the capacity of the entry's network link in Mbit/s. 0 means defaultLinkMbps.
+	LinkMbps float64
 
 	plan      *plan.Plan
 	directory *Directory
@@ -55,6 +57,10 @@
 	groupChangeTimes map[uint64]time.Time
 	// searches holds the flows whose holder is being searched for.
 	searches map[gue.Flow]*entryFlow
+	// questions holds the questions that were not answered yet, by number. budget limits what searches send.
+	questions      map[uint32]askedQuestion
+	questionNumber uint32
+	budget         searchBudget
 	// held holds the SYNs that wait for the first host of their service.
 	held  map[gue.Flow]heldSYN
 	flows *simplelru.LRU[gue.Flow, *entryFlow]
@@ -250,8 +256,12 @@
 		out.DropReason = gue.ReasonTag
 		return
 	}
-	f := hdr.FlowFromCaller()
 	hl := e.hostLoadOf(h.Instance)
+	if hdr.Mark.Code == CodeAnswers {
+		e.handleAnswers(now, hl, packet, hdr, out)
+		return
+	}
+	f := hdr.FlowFromCaller()
 	route := e.plan.Find(f.Service)
 	if route == nil {
 		out.DropReason = gue.ReasonUnknownAddress
--- a/kernel/flow/hold_test.go
+++ b/kernel/flow/hold_test.go
@@ -119,6 +119,7 @@
 	for n := range 50 {
 		h := tn.openFlow(0, n)
 		require.Equal(t, "a", h.member.DataCentre)
+		tn.advance(10 * time.Millisecond)
 		before := len(tn.decisions)
 		answered, _ := tn.sendRequest(1, n, h)
 		require.True(t, answered)
--- a/kernel/flow/load.go
+++ b/kernel/flow/load.go
@@ -41,6 +41,9 @@
 	refusedUntil time.Time
 	// downSince is when the host was marked as down, or zero if it is up.
 	downSince time.Time
+	// silent counts the questions in a row that the host did not answer. It is not asked about flows before askAfter.
+	silent   int
+	askAfter time.Time
 	// lastAccepted is when a caller last completed a handshake with the host through this entry.
 	lastAccepted time.Time
 }
--- a/kernel/flow/probe.go
+++ b/kernel/flow/probe.go
@@ -52,7 +52,7 @@
 			a.answerLocate(f, af, CodeMaybe, out)
 		}
 		switch {
-		case age > idleTimeout, af.state == stateClosed && age > closedTimeout, af.state == stateUnknown && age > closedTimeout:
+		case age > idleTimeout, af.state == stateClosed && af.callerClosed && age > closedTimeout, af.state == stateUnknown && age > closedTimeout:
 			a.flows.Remove(f)
 		case af.busy && age > busyTimeout:
 			a.setBusy(af, false, now)
--- a/kernel/flow/reply.go
+++ b/kernel/flow/reply.go
@@ -59,7 +59,7 @@
 	}
 	if !known {
 		af = &agentFlow{state: stateUnknown, busySince: now}
-		a.flows.Add(f, af)
+		a.track(f, af)
 	}
 	af.lastPacket = now
 	switch {
@@ -67,7 +67,7 @@
 		af.synAckSequence, af.synAckSeen = hdr.Sequence, true
 	case hdr.RST:
 		a.setBusy(af, false, now)
-		af.state = stateClosed
+		af.state, af.callerClosed = stateClosed, true
 	case hdr.Length > 0 || hdr.FIN:
 		a.recordAnswer(now, f, af, out)
 	}
--- a/kernel/flow/search.go
+++ b/kernel/flow/search.go
@@ -12,6 +12,11 @@
 	// locateRetryInterval is how long a search waits for answers before it asks again. The wait doubles with each retry.
 	// Retries are needed because a datagram may be lost or an agent may still be starting.
 	locateRetryInterval = 100 * time.Millisecond
+	// maxRetryDoublings bounds the wait between retries at 800 ms.
+	maxRetryDoublings = 3
+	// questionTimeout is how long an entry waits for the answer to a question. Then the host counts as silent, and is asked
+	// less often.
+	questionTimeout = 300 * time.Millisecond
 	// searchTimeout bounds the duration of a search. Callers and targets retransmit a packet after 200 ms to 1.6 s, which
 	// starts another search.
 	searchTimeout = 3 * time.Second
@@ -24,20 +29,21 @@
 	maxQueuedPackets = 16
 	// maxSearches bounds the concurrent searches. Together with maxQueuedPackets it bounds their memory.
 	maxSearches = 1024
-	// maxLocatesPerStep is how many packets one step of ContinueSearches sends before it stops. Sending them takes the
+	// maxPacketsPerStep is how many packets one call of ContinueSearches sends before it stops. Sending them takes the
 	// smallest entry about 8 ms.
-	maxLocatesPerStep = 256
+	maxPacketsPerStep = 256
 	// groupSettleTime is how long a group must be unchanged before a denial by all of its hosts is conclusive. All members
 	// learn of a new host within one exchange of the membership.
 	groupSettleTime = 300 * time.Millisecond
 )
 
-// search finds out which host holds a flow. It ends when a host confirms that it does, when all hosts have answered, or
-// after searchTimeout.
+// search finds out which host holds a flow. It asks the agents, and sends a copy of a packet only to the targets whose
+// agents are unsure. It ends when a host confirms that it holds the flow, when all hosts have answered, or after
+// searchTimeout.
 type search struct {
 	started time.Time
-	// lastLocate is when the hosts were last asked.
-	lastLocate time.Time
+	// lastRound is when the hosts were last asked.
+	lastRound time.Time
 	// retries counts how many times the hosts were asked again because answers were missing.
 	retries int
 	group   searchGroup
@@ -45,7 +51,10 @@
 	answers []answer
 	// scope is the number of hosts, from the start of the group, that the search asks.
 	scope int
-	// queued holds the packets that wait for the holder. The first of them is also the one with which hosts are asked.
+	// due is set if hosts in scope are to be asked by the next call of ContinueSearches.
+	due bool
+	// queued holds the packets that wait for the holder. The first of them is also the one that targets of unsure agents
+	// are sent.
 	queued [][]byte
 	// lastAck is the acknowledgement number of the caller's latest packet.
 	lastAck uint32
@@ -59,22 +68,19 @@
 	s.lastAck = hdr.Acknowledged
 }
 
-// answer is a host's answer to the question whether it holds a flow.
-type answer uint8
-
-const (
-	answerNone answer = iota
-	// answerDenied is the answer of a host that does not hold the flow.
-	answerDenied
-	// answerMaybe is the answer of a host that can neither confirm nor deny that it holds the flow.
-	answerMaybe
-)
-
-// recordAnswer records a host's answer, unless the host has already denied the flow.
+// recordAnswer records a host's answer, unless the host has already denied the flow. An unsure host has nothing to add to
+// what it answered before.
 func (s *search) recordAnswer(hl *hostLoad, a answer) {
-	if i := slices.Index(s.group.hosts, hl); i >= 0 && s.answers[i] != answerDenied {
-		s.answers[i] = a
+	i := s.indexOf(hl)
+	if i < 0 || s.answers[i] == answerDenied || a == answerUnsure && s.answers[i] != answerNone {
+		return
 	}
+	s.answers[i] = a
+}
+
+// indexOf returns the index of a host in the group, or -1.
+func (s *search) indexOf(hl *hostLoad) int {
+	return slices.Index(s.group.hosts, hl)
 }
 
 func (s *search) countAnswers(a answer) int {
@@ -91,7 +97,7 @@
 // counted after downHostRetries.
 func (s *search) unanswered() (left, asked int) {
 	for i, hl := range s.group.hosts {
-		if s.answers[i] != answerNone || hl.isDown() && s.retries >= downHostRetries {
+		if s.answers[i].isFinal() || hl.isDown() && s.retries >= downHostRetries {
 			continue
 		}
 		left++
@@ -167,25 +173,7 @@
 	ef.search = s
 	e.searches[f] = ef
 	s.widen()
-	e.sendLocates(now, f, s, out)
-}
-
-// sendLocates asks the hosts in scope that have not answered, by sending them the first queued packet.
-func (e *Entry) sendLocates(now time.Time, f gue.Flow, s *search, out *Output) {
-	s.lastLocate = now
-	asked := 0
-	for i, hl := range s.group.hosts[:s.scope] {
-		if s.answers[i] != answerNone || hl.host == nil {
-			continue
-		}
-		p := append([]byte(nil), s.queued[0]...)
-		e.Codec.SetMark(p, Mark{Code: CodeLocate})
-		out.send(hl.host.Packets, p)
-		asked++
-	}
-	out.record(Decision{
-		Action: ActionSearched, Flow: f, PlanVersion: e.plan.Version, Count: asked, AgeMs: now.Sub(s.started).Milliseconds(),
-	})
+	e.ask(now, f, s, out)
 }
 
 // handleNotHere handles a packet that a host returned because it does not hold the flow. The denial counts only if the
@@ -209,7 +197,7 @@
 		e.startSearch(now, f, route, ef, packet, hdr, out, hl)
 		return
 	}
-	e.refreshSearch(now, f, route, ef, out)
+	e.refreshSearch(now, f, route, ef)
 	if g := e.directory.Group(hl.host.Service); g != nil && uint32(g.Digest) == hdr.Mark.Value {
 		ef.search.recordAnswer(hl, answerDenied)
 	}
@@ -222,14 +210,14 @@
 	if !known || ef.search == nil {
 		return
 	}
-	e.refreshSearch(now, f, route, ef, out)
+	e.refreshSearch(now, f, route, ef)
 	ef.search.recordAnswer(hl, answerMaybe)
 	e.advanceSearch(now, f, ef, out)
 }
 
 // refreshSearch updates a search after the directory changed. If the set of hosts differs, it discards the answers and
 // asks all hosts again, because denials by earlier incarnations or by fewer hosts are not conclusive.
-func (e *Entry) refreshSearch(now time.Time, f gue.Flow, route *plan.Route, ef *entryFlow, out *Output) {
+func (e *Entry) refreshSearch(now time.Time, f gue.Flow, route *plan.Route, ef *entryFlow) {
 	s := ef.search
 	if s.group.directory == e.directory {
 		return
@@ -238,8 +226,7 @@
 	s.group = e.searchGroupFor(now, f, route)
 	s.answers = make([]answer, len(s.group.hosts))
 	if s.group.digest != previous.digest {
-		s.scope = len(s.group.hosts)
-		e.sendLocates(now, f, s, out)
+		s.scope, s.due = len(s.group.hosts), true
 		return
 	}
 	s.scope = min(s.scope, len(s.group.hosts))
@@ -262,7 +249,7 @@
 		e.abandonSearch(now, f, ef, left, out)
 	case left > 0 && asked == 0:
 		s.widen()
-		e.sendLocates(now, f, s, out)
+		e.ask(now, f, s, out)
 	}
 }
 
@@ -296,7 +283,7 @@
 }
 
 // handleHere handles a host's confirmation that it holds a flow, and forwards the queued packets to the host. The
-// first of them has already been sent to it by the search.
+// first of them may already have been sent to it by the search.
 func (e *Entry) handleHere(now time.Time, f gue.Flow, hl *hostLoad, out *Output) {
 	ef, known := e.flows.Get(f)
 	if !known {
@@ -311,6 +298,8 @@
 		return
 	}
 	e.endSearch(f, ef)
+	i := s.indexOf(hl)
+	delivered := i >= 0 && (s.answers[i] == answerPending || s.answers[i] == answerMaybe)
 	out.record(Decision{
 		Action: ActionFound, Flow: f, Instance: hl.host.Instance, PlanVersion: e.plan.Version,
 		Count: s.countAnswers(answerDenied), AgeMs: now.Sub(s.started).Milliseconds(),
@@ -319,7 +308,7 @@
 		if hdr, reason := e.Codec.Parse(p); reason == gue.ReasonNone {
 			e.trackRequest(now, ef, &hdr)
 		}
-		if i > 0 {
+		if i > 0 || !delivered {
 			e.forward(hl, p, Mark{}, out)
 		}
 	}
@@ -373,26 +362,36 @@
 	delete(e.searches, f)
 }
 
-// ContinueSearches applies timeouts and directory changes to the active searches. It returns true if it stopped early
-// because of maxLocatesPerStep; call it again then. Set behind if the entry has not read all packets that it received.
-// It then asks no host again, because the answers may be among the unread packets.
+// ContinueSearches applies timeouts and directory changes to the active searches, and asks the hosts that are due. It
+// returns true if it stopped early because of maxPacketsPerStep; call it again then. Set behind if the entry has not read
+// all packets that it received. It then asks no host, because the answers may be among the unread packets.
 func (e *Entry) ContinueSearches(now time.Time, behind bool, out *Output) (more bool) {
 	for f, ef := range e.searches {
-		if len(out.Packets) >= maxLocatesPerStep {
-			return true
-		}
 		route := e.plan.Find(f.Service)
 		if route == nil {
 			e.flows.Remove(f)
 			continue
 		}
-		e.refreshSearch(now, f, route, ef, out)
+		e.refreshSearch(now, f, route, ef)
 		e.advanceSearch(now, f, ef, out)
-		if s := ef.search; s != nil && !behind && now.Sub(s.lastLocate) >= locateRetryInterval<<s.retries {
-			s.retries++
-			s.scope = len(s.group.hosts)
-			e.sendLocates(now, f, s, out)
+		if s := ef.search; s != nil && !behind && now.Sub(s.lastRound) >= locateRetryInterval<<min(s.retries, maxRetryDoublings) {
+			s.retry(now)
+		}
+	}
+	if behind {
+		return false
+	}
+	e.expireQuestions(now)
+	return e.askDue(now, out)
+}
+
+// retry makes the search ask all hosts again that have not answered.
+func (s *search) retry(now time.Time) {
+	s.retries++
+	s.scope, s.due, s.lastRound = len(s.group.hosts), true, now
+	for i, a := range s.answers {
+		if a == answerPending {
+			s.answers[i] = answerUnsure
 		}
 	}
-	return false
 }
--- a/kernel/flow/search_test.go
+++ b/kernel/flow/search_test.go
@@ -274,7 +274,7 @@
 		tn.sendUnknownPacket(0, n)
 	}
 	tn.now = tn.now.Add(2 * locateRetryInterval)
-	require.Less(t, tn.countLocates(0, false), maxLocatesPerStep+20)
+	require.Less(t, tn.countLocates(0, false), maxPacketsPerStep+20)
 }
 
 // A search first asks the likeliest hosts. Once all of them have denied the flow, it asks all hosts without a timeout.
