Agents that know their target's flows deny at once; silence of down hosts is remembered

Change: an agent that saw all SYNs returns packets of unknown flows itself; a denial by an agent that knows other hosts excludes that host as a holder without counting towards a reset; unanswered questions about other flows count for a host that is down; searches retry after 200 ms at most.

--- a/agent/cmd/agent.go
+++ b/agent/cmd/agent.go
@@ -244,7 +244,7 @@
 // drain limit. It then leaves the membership and, for at most the linger time, forwards packets that entries still send
 // to this agent.
 func (a *terminatingAgent) drain(ctx context.Context) {
-	a.process.SetReady(false)
+	a.process.SetStopping()
 	a.dispatcher.Retire()
 	a.gossip.Do(ctx, func(now time.Time) { a.gossip.SetState(now, facts.StateDraining) })
 	bounded, cancel := context.WithTimeout(ctx, a.settings.Drain.Limit)
--- a/entry/cmd/entry.go
+++ b/entry/cmd/entry.go
@@ -135,7 +135,7 @@
 // shutDown announces that this entry has left the membership, then keeps forwarding for shutdownDelay while the fabric
 // removes it.
 func (e *entry) shutDown(ctx context.Context, gossip *peer.Gossip) {
-	e.process.SetReady(false)
+	e.process.SetStopping()
 	e.shuttingDown.Store(true)
 	gossip.Do(ctx, func(now time.Time) { gossip.SetState(now, facts.StateLeft) })
 	time.Sleep(shutdownDelay)
--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -135,7 +135,7 @@
 // the entry from the membership and the store.
 func (e *passthroughEntry) shutDown(ctx context.Context) {
 	e.shuttingDown.Store(true)
-	e.process.SetReady(false)
+	e.process.SetStopping()
 	time.Sleep(deregistrationDelay)
 	e.node.Gossip.Do(ctx, func(now time.Time) { e.node.Gossip.SetState(now, facts.StateLeft) })
 	e.node.Registrar.Remove(ctx, e.settings.Instance)
--- a/kernel/control/registrar.go
+++ b/kernel/control/registrar.go
@@ -132,6 +132,7 @@
 	}
 	r.health.observe(err)
 	if err != nil {
+		r.Gossip.Do(ctx, func(time.Time) { r.Gossip.SeedDelay = 0 })
 		return false
 	}
 	f, ok := decodeFact(o)
@@ -148,6 +149,7 @@
 	page, err := r.Store.List(ctx, KindInstances)
 	r.health.observe(err)
 	if err != nil {
+		r.Gossip.Do(ctx, func(time.Time) { r.Gossip.SeedDelay = 0 })
 		return false
 	}
 	var all []facts.Fact
--- a/kernel/dataplane/loop.go
+++ b/kernel/dataplane/loop.go
@@ -32,6 +32,9 @@
 // that live flows need.
 const maxPause = 400 * time.Millisecond
 
+// readRetryDelay is the pause after a failed read. Without it, a socket that keeps failing would use the whole core.
+const readRetryDelay = 10 * time.Millisecond
+
 // minIdleShare is the share of a tick that a loop must spend waiting for packets. Below it, the loop counts as
 // overloaded.
 const minIdleShare = 0.1
@@ -99,6 +102,7 @@
 		case errors.Is(err, os.ErrDeadlineExceeded):
 		case err != nil:
 			events.PacketReadFailed.Log(l.Logger, events.ErrorAttr(err))
+			time.Sleep(readRetryDelay)
 		case pauseBetween(previous, arrived) > maxPause:
 			// Drop this packet. The next iteration discards the rest of the socket's queue.
 		default:
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -10,7 +10,7 @@
 	Stopped             = define(102, "stopped", slog.LevelInfo, "process stopped")
 	StopForced          = define(103, "stopForced", slog.LevelWarn, "second stop signal received, exiting immediately")
 	AdminFailed         = define(104, "adminFailed", slog.LevelError, "admin or readiness HTTP server stopped unexpectedly")
-	PeerListenFailed    = define(110, "peerListenFailed", slog.LevelError, "control listener stopped unexpectedly")
+	PeerListenFailed    = define(110, "peerListenFailed", slog.LevelError, "control listener could not accept a connection and tries again")
 	FactRefused         = define(111, "factRefused", slog.LevelWarn, "fact rejected: its body can't be encoded or decoded")
 	MemberSilent        = define(113, "memberSilent", slog.LevelWarn, "member stopped responding and is marked down")
 	SelfRefuted         = define(114, "selfRefuted", slog.LevelWarn, "other instances had a newer state of this instance, usually that it is down; it published its own with a higher version")
--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -32,7 +32,7 @@
 	}
 	af = &agentFlow{state: stateOpening, busySince: now, lastPacket: now}
 	a.track(f, af)
-	a.setBusy(af, true, now)
+	a.setBusy(af, now)
 	a.handshakes = append(a.handshakes, handshake{flow: f, started: now})
 	a.sendToTarget(from.Addr(), packet, out)
 }
@@ -83,13 +83,13 @@
 	return CodeNone, ""
 }
 
-// expireHandshakes stops counting flows as load if their caller sent nothing after the SYN. Most of these SYNs were
-// delayed for so long on their way that the caller has given up.
+// expireHandshakes stops counting flows as load if their caller sent no data after the SYN. Most of these SYNs were
+// delayed for so long on their way that the caller has given up, and the others opened flows that are idle.
 func (a *Agent) expireHandshakes(now time.Time) {
 	for len(a.handshakes) > 0 && now.Sub(a.handshakes[0].started) > handshakeTimeout {
 		af, known := a.flows.Peek(a.handshakes[0].flow)
-		if known && af.state == stateOpening && now.Sub(af.busySince) > handshakeTimeout {
-			a.setBusy(af, false, now)
+		if known && !af.requested && now.Sub(af.busySince) > handshakeTimeout {
+			a.setIdle(af)
 		}
 		a.handshakes = a.handshakes[1:]
 	}
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -74,8 +74,10 @@
 	synAckSeen     bool
 	// busy is set if the flow counts as load. It has done so since busySince, which is the time of the SYN or of the first
 	// packet of a later request.
-	busy       bool
-	busySince  time.Time
+	busy      bool
+	busySince time.Time
+	// requested is set once the caller has sent data.
+	requested  bool
 	lastPacket time.Time
 	// lastAck is the acknowledgement number of the caller's latest packet.
 	lastAck uint32
@@ -190,8 +192,8 @@
 	a.handleEstablished(now, from, f, packet, &hdr, out)
 }
 
-// handleEstablished forwards a packet other than a SYN to the target, even if the agent does not know the flow: the
-// target bounces packets of flows that it does not hold.
+// handleEstablished forwards a packet other than a SYN to the target. It does so even if the agent does not know the flow
+// but has not seen all SYNs: the target bounces packets of flows that it does not hold.
 func (a *Agent) handleEstablished(now time.Time, from netip.AddrPort, f gue.Flow, packet []byte, hdr *Header, out *Output) {
 	af, known := a.flows.Get(f)
 	if known && af.state == stateOpening && af.synAckSeen && hdr.Acknowledged-af.synAckSequence > 1 {
@@ -199,6 +201,10 @@
 		a.returnToEntry(from, packet, out)
 		return
 	}
+	if !known && a.sawAllSYNs {
+		a.returnToEntry(from, packet, out)
+		return
+	}
 	if !known {
 		af = &agentFlow{busySince: now}
 		a.track(f, af)
@@ -223,14 +229,15 @@
 	}
 	switch {
 	case hdr.RST:
-		a.setBusy(af, false, now)
+		a.setIdle(af)
 		af.state, af.callerClosed = stateClosed, true
 	case hdr.FIN:
 		af.callerClosed = true
 	case hdr.Length > 0:
 		// Flows that have ended, or whose holder is only being located, do not count as load.
 		if af.state == stateOpening || af.state == stateOpen {
-			a.setBusy(af, true, now)
+			af.requested = true
+			a.setBusy(af, now)
 			a.recordRequest(now, f, af, packet, out)
 		}
 	default:
@@ -278,32 +285,32 @@
 	return a.plan.Version
 }
 
-// setBusy starts or stops counting a flow as load. A request that ends is added to the average service time.
-func (a *Agent) setBusy(af *agentFlow, busy bool, now time.Time) {
-	if af.busy == busy {
-		return
-	}
-	af.busy = busy
-	if busy {
+// setBusy starts counting a flow as load.
+func (a *Agent) setBusy(af *agentFlow, now time.Time) {
+	if !af.busy {
+		af.busy, af.busySince = true, now
 		a.busyCount++
-		af.busySince = now
-		return
-	}
-	a.busyCount--
-	if af.state == stateOpening {
-		return
 	}
-	a.serviceTime += time.Duration(serviceTimeWeight * float64(now.Sub(af.busySince)-a.serviceTime))
 }
 
-// onEvict releases the load of a flow that is removed from the cache.
-func (a *Agent) onEvict(_ gue.Flow, af *agentFlow) {
+// setIdle stops counting a flow as load.
+func (a *Agent) setIdle(af *agentFlow) {
 	if af.busy {
 		af.busy = false
 		a.busyCount--
 	}
 }
 
+// observeServiceTime adds a sample to the average time from a request to its answer.
+func (a *Agent) observeServiceTime(elapsed time.Duration) {
+	a.serviceTime += time.Duration(serviceTimeWeight * float64(elapsed-a.serviceTime))
+}
+
+// onEvict releases the load of a flow that is removed from the cache.
+func (a *Agent) onEvict(_ gue.Flow, af *agentFlow) {
+	a.setIdle(af)
+}
+
 // callerAddress returns the address for packets to a flow's caller: the caller's IP address and the port on which all
 // instances and callers receive packets.
 func callerAddress(f gue.Flow, self netip.AddrPort) netip.AddrPort {
--- a/kernel/flow/ask.go
+++ b/kernel/flow/ask.go
@@ -60,7 +60,7 @@
 			case hl.host == nil || now.Before(hl.askAfter):
 			case s.answers[i] == answerUnsure:
 				e.sendUnsure(now, s, i, out)
-			case s.answers[i] == answerNone:
+			case s.answers[i] == answerNone || s.answers[i] == answerElsewhere:
 				byHost[hl] = append(byHost[hl], f)
 			}
 		}
@@ -130,13 +130,18 @@
 	}
 	delete(e.questions, number)
 	hl.silent, hl.askAfter = 0, time.Time{}
-	g := e.directory.Group(hl.host.Service)
-	sameHosts := g != nil && uint32(g.Digest) == hdr.Mark.Value
+	sameHosts := e.knowsSameHosts(hl, hdr)
 	for i, f := range question.flows {
 		e.handleAnswer(now, f, hl, answer(answers[i]), sameHosts, out)
 	}
 }
 
+// knowsSameHosts reports whether the agent that sent a packet knows the same hosts of its service as the entry.
+func (e *Entry) knowsSameHosts(hl *hostLoad, hdr *Header) bool {
+	g := e.directory.Group(hl.host.Service)
+	return g != nil && uint32(g.Digest) == hdr.Mark.Value
+}
+
 // handleAnswer handles an agent's answer about one flow.
 func (e *Entry) handleAnswer(now time.Time, f gue.Flow, hl *hostLoad, a answer, sameHosts bool, out *Output) {
 	ef := e.searches[f]
@@ -150,7 +155,9 @@
 		ef.lastPacket = now
 		e.handleHere(now, f, hl, out)
 		return
-	case a == answerUnsure, a == answerDenied && sameHosts:
+	case a == answerDenied:
+		ef.search.recordDenial(hl, sameHosts)
+	case a == answerUnsure:
 		ef.search.recordAnswer(hl, a)
 	}
 	if i := ef.search.indexOf(hl); i >= 0 && ef.search.answers[i] == answerUnsure {
@@ -169,7 +176,7 @@
 		delete(e.questions, number)
 		if !q.asked.Before(q.host.askAfter) {
 			q.host.silent++
-			q.host.askAfter = now.Add(locateRetryInterval << min(q.host.silent, maxRetryDoublings))
+			q.host.askAfter = now.Add(locateRetryInterval << min(q.host.silent, maxSilentDoublings))
 		}
 	}
 }
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -233,7 +233,8 @@
 	}
 	switch {
 	case hdr.FIN || hdr.RST:
-		if ef.stage == stageBusy || ef.stage == stageOpening {
+		// A caller that gives up without an answer tells nothing about the service time.
+		if ef.stage == stageBusy && hdr.FIN && hdr.Acknowledged != ef.lastAck {
 			ef.holder.observeServiceTime(now.Sub(ef.waitingSince))
 		}
 		e.setStage(ef, ef.holder, stageClosing)
--- a/kernel/flow/knowledge.go
+++ b/kernel/flow/knowledge.go
@@ -63,7 +63,7 @@
 	switch {
 	case known && (af.state == stateOpen || af.state == stateClosed):
 		return answerHeld
-	case !known && a.sawAllSYNs:
+	case a.sawAllSYNs && (!known || af.state == stateUnknown):
 		return answerDenied
 	}
 	return answerUnsure
--- a/kernel/flow/network_test.go
+++ b/kernel/flow/network_test.go
@@ -32,6 +32,8 @@
 	// dropPacket, if not nil, reports whether a packet is lost on its way.
 	dropPacket func(to netip.AddrPort, hdr Header) bool
 	decisions  []Decision
+	// sentBytes counts the bytes that each instance has sent.
+	sentBytes map[netip.AddrPort]int
 }
 
 type packetInTransit struct {
@@ -195,7 +197,11 @@
 }
 
 func (tn *testNetwork) queueOutput(from netip.AddrPort, out *Output) {
+	if tn.sentBytes == nil {
+		tn.sentBytes = map[netip.AddrPort]int{}
+	}
 	for _, s := range out.Packets {
+		tn.sentBytes[from] += len(s.Packet)
 		tn.queue = append(tn.queue, packetInTransit{from: from, to: s.To, packet: slices.Clone(s.Packet)})
 	}
 	tn.decisions = append(tn.decisions, out.Decisions...)
--- a/kernel/flow/probe.go
+++ b/kernel/flow/probe.go
@@ -48,14 +48,14 @@
 	for _, f := range a.flows.Keys() {
 		af, _ := a.flows.Peek(f)
 		age := now.Sub(af.lastPacket)
-		if af.locatingEntry.IsValid() && now.Sub(af.locateReceived) > bounceTimeout {
+		if af.locatingEntry.IsValid() && now.Sub(af.locateReceived) > bounceTimeout && a.answerFor(f) != answerDenied {
 			a.answerLocate(f, af, CodeMaybe, out)
 		}
 		switch {
 		case age > idleTimeout, af.state == stateClosed && af.callerClosed && age > closedTimeout, af.state == stateUnknown && age > closedTimeout:
 			a.flows.Remove(f)
 		case af.busy && age > busyTimeout:
-			a.setBusy(af, false, now)
+			a.setIdle(af)
 		}
 	}
 }
--- a/kernel/flow/question.go
+++ b/kernel/flow/question.go
@@ -22,7 +22,7 @@
 // The values of answerDenied, answerUnsure and answerHeld are sent to other instances.
 const (
 	answerNone answer = iota
-	// answerDenied is the answer of a host that does not hold the flow.
+	// answerDenied is the answer of a host that does not hold the flow and knows the same hosts as the entry.
 	answerDenied
 	// answerUnsure is the answer of an agent that can tell only after its target has received a packet of the flow.
 	answerUnsure
@@ -31,6 +31,9 @@
 	// answerMaybe is the answer of a host that can neither confirm nor deny that it holds a flow of which its target
 	// has received a packet.
 	answerMaybe
+	// answerElsewhere is the answer of a host that does not hold the flow and knows other hosts than the entry, which may
+	// hold it. It is asked again.
+	answerElsewhere
 	// answerPending is the state of a host that was unsure and was sent a packet of the flow.
 	answerPending
 )
--- a/kernel/flow/reply.go
+++ b/kernel/flow/reply.go
@@ -66,7 +66,7 @@
 	case hdr.SYNACK:
 		af.synAckSequence, af.synAckSeen = hdr.Sequence, true
 	case hdr.RST:
-		a.setBusy(af, false, now)
+		a.setIdle(af)
 		af.state, af.callerClosed = stateClosed, true
 	case hdr.Length > 0 || hdr.FIN:
 		a.recordAnswer(now, f, af, out)
@@ -96,7 +96,8 @@
 		return
 	}
 	elapsed := now.Sub(af.busySince)
-	a.setBusy(af, false, now)
+	a.setIdle(af)
+	a.observeServiceTime(elapsed)
 	if a.ObserveServiceTime != nil {
 		a.ObserveServiceTime(elapsed.Seconds())
 	}
--- a/kernel/flow/search.go
+++ b/kernel/flow/search.go
@@ -12,8 +12,10 @@
 	// locateRetryInterval is how long a search waits for answers before it asks again. The wait doubles with each retry.
 	// Retries are needed because a datagram may be lost or an agent may still be starting.
 	locateRetryInterval = 100 * time.Millisecond
-	// maxRetryDoublings bounds the wait between retries at 800 ms.
-	maxRetryDoublings = 3
+	// maxRetryDoublings bounds the wait between the retries of a search at 200 ms, and maxSilentDoublings that between
+	// questions to a silent host at 800 ms.
+	maxRetryDoublings  = 1
+	maxSilentDoublings = 3
 	// questionTimeout is how long an entry waits for the answer to a question. Then the host counts as silent, and is asked
 	// less often.
 	questionTimeout = 300 * time.Millisecond
@@ -68,16 +70,25 @@
 	s.lastAck = hdr.Acknowledged
 }
 
-// recordAnswer records a host's answer, unless the host has already denied the flow. An unsure host has nothing to add to
-// what it answered before.
+// recordAnswer records a host's answer, unless the host has already denied the flow. An unsure host has nothing to add
+// after it was sent a packet.
 func (s *search) recordAnswer(hl *hostLoad, a answer) {
 	i := s.indexOf(hl)
-	if i < 0 || s.answers[i] == answerDenied || a == answerUnsure && s.answers[i] != answerNone {
+	if i < 0 || s.answers[i] == answerDenied || a == answerUnsure && s.answers[i] == answerPending {
 		return
 	}
 	s.answers[i] = a
 }
 
+// recordDenial records that a host does not hold the flow. sameHosts reports whether it knows the same hosts as the entry.
+func (s *search) recordDenial(hl *hostLoad, sameHosts bool) {
+	if sameHosts {
+		s.recordAnswer(hl, answerDenied)
+		return
+	}
+	s.recordAnswer(hl, answerElsewhere)
+}
+
 // indexOf returns the index of a host in the group, or -1.
 func (s *search) indexOf(hl *hostLoad) int {
 	return slices.Index(s.group.hosts, hl)
@@ -93,15 +104,15 @@
 	return n
 }
 
-// unanswered returns how many hosts have not answered, and how many of these are in scope. Hosts that are down are not
-// counted after downHostRetries.
+// unanswered returns how many hosts have not answered conclusively, and how many hosts in scope have not answered at all. Hosts that are down are not
+// counted after downHostRetries, of this search or of questions about other flows.
 func (s *search) unanswered() (left, asked int) {
 	for i, hl := range s.group.hosts {
-		if s.answers[i].isFinal() || hl.isDown() && s.retries >= downHostRetries {
+		if s.answers[i].isFinal() || hl.isDown() && max(s.retries, hl.silent) >= downHostRetries {
 			continue
 		}
 		left++
-		if i < s.scope {
+		if i < s.scope && s.answers[i] != answerElsewhere {
 			asked++
 		}
 	}
@@ -198,9 +209,7 @@
 		return
 	}
 	e.refreshSearch(now, f, route, ef)
-	if g := e.directory.Group(hl.host.Service); g != nil && uint32(g.Digest) == hdr.Mark.Value {
-		ef.search.recordAnswer(hl, answerDenied)
-	}
+	ef.search.recordDenial(hl, e.knowsSameHosts(hl, hdr))
 	e.advanceSearch(now, f, ef, out)
 }
 
@@ -247,7 +256,7 @@
 		e.resetUnheldFlow(now, f, ef, out)
 	case now.Sub(s.started) > searchTimeout:
 		e.abandonSearch(now, f, ef, left, out)
-	case left > 0 && asked == 0:
+	case left > 0 && asked == 0 && s.scope < len(s.group.hosts):
 		s.widen()
 		e.ask(now, f, s, out)
 	}
@@ -321,7 +330,7 @@
 	e.endSearch(f, ef)
 	var first *hostLoad
 	for i, hl := range s.group.hosts {
-		if s.answers[i] != answerDenied {
+		if s.answers[i] != answerDenied && s.answers[i] != answerElsewhere {
 			ef.possibleHolders = append(ef.possibleHolders, hl)
 		}
 		if s.answers[i] == answerMaybe && first == nil {
@@ -390,8 +399,8 @@
 	s.retries++
 	s.scope, s.due, s.lastRound = len(s.group.hosts), true, now
 	for i, a := range s.answers {
-		if a == answerPending {
-			s.answers[i] = answerUnsure
+		if a == answerPending || a == answerUnsure {
+			s.answers[i] = answerNone
 		}
 	}
 }
--- a/kernel/peer/server.go
+++ b/kernel/peer/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -16,6 +17,9 @@
 	"github.com/coltsfootline/coltsfootline/kernel/process"
 )
 
+// acceptRetryDelay is the pause after a connection could not be accepted.
+const acceptRetryDelay = 100 * time.Millisecond
+
 // Handler handles the requests of one method. Its result is encoded as JSON.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
@@ -52,15 +56,18 @@
 	return nil
 }
 
-// acceptLoop accepts connections until ctx is cancelled or the listener fails.
+// acceptLoop accepts connections until ctx is cancelled or the listener is closed.
 func (s *Server) acceptLoop(ctx context.Context) {
 	for {
 		socket, err := s.listener.Accept()
 		if err != nil {
-			if ctx.Err() == nil {
-				events.PeerListenFailed.Log(s.Logger, events.ErrorAttr(err))
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
 			}
-			return
+			// Some errors are temporary, such as a lack of descriptors.
+			events.PeerListenFailed.Log(s.Logger, events.ErrorAttr(err))
+			time.Sleep(acceptRetryDelay)
+			continue
 		}
 		conn := jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(countingConn{socket}), jsonrpc2.AsyncHandler(s), jsonrpc2.SetLogger(protocolLogger{s.Logger}))
 		context.AfterFunc(ctx, func() { _ = conn.Close() })
--- a/kernel/process/process.go
+++ b/kernel/process/process.go
@@ -10,7 +10,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
-	"sync/atomic"
+	"sync"
 	"syscall"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -44,7 +44,10 @@
 	// Reload is called on SIGHUP. If it is nil, the signal is ignored.
 	Reload func()
 
-	ready atomic.Bool
+	// mutex guards ready and stopping.
+	mutex    sync.Mutex
+	ready    bool
+	stopping bool
 }
 
 // ListenError reports an address that the process can't listen on.
@@ -63,11 +66,24 @@
 	return e.Cause
 }
 
-// SetReady sets whether the readiness checks report that the program is ready. It logs the change, if there is one.
+// SetReady sets whether the readiness checks report that the program is ready. It logs the change, if there is one. After
+// SetStopping, the program is not ready whatever it sets.
 func (p *Process) SetReady(ready bool) {
-	if p.ready.Swap(ready) != ready {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	ready = ready && !p.stopping
+	if p.ready != ready {
 		events.ReadyChanged.Log(p.Logger, slog.Bool("ready", ready))
 	}
+	p.ready = ready
+}
+
+// SetStopping makes the readiness checks report for good that the program is not ready.
+func (p *Process) SetStopping() {
+	p.mutex.Lock()
+	p.stopping = true
+	p.mutex.Unlock()
+	p.SetReady(false)
 }
 
 // Run starts the HTTP servers, calls run with a context that the first SIGTERM or SIGINT cancels, and returns its error.
@@ -115,7 +131,9 @@
 }
 
 func (p *Process) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if !p.ready.Load() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if !p.ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/kernel/store/errors.go
+++ b/kernel/store/errors.go
@@ -64,3 +64,13 @@
 func (e *StatusError) Error() string {
 	return "unexpected HTTP status " + strconv.Itoa(e.Status)
 }
+
+// TooManyPagesError reports a listing with more than maxPages pages.
+type TooManyPagesError struct {
+	Kind string
+}
+
+// Error implements the error interface.
+func (e *TooManyPagesError) Error() string {
+	return "list " + e.Kind + ": more pages than this client reads"
+}
--- a/kernel/store/store.go
+++ b/kernel/store/store.go
@@ -25,7 +25,7 @@
 	// maxResponseBytes limits a response body. A page holds about 1 MB. A longer body is truncated and then can't be
 	// decoded.
 	maxResponseBytes = 4 << 20
-	// maxPages limits a listing. A page holds 500 objects. Further pages are not read, and no error is returned.
+	// maxPages limits a listing. A page holds 500 objects. A longer listing fails.
 	maxPages = 200
 )
 
@@ -178,7 +178,7 @@
 		}
 		after = p.Objects[len(p.Objects)-1].Name
 	}
-	return all, nil
+	return Page{}, errors.WithStack(&TooManyPagesError{Kind: kind})
 }
 
 // Watch waits for at most the given time for changes of a kind after a revision. After an ExpiredError the caller must
