The life of an agent costs the store four calls instead of seven

An agent read the plan from the store although peers have it, wrote its object before and after it knew its target and after each refutation, and wrote and deleted it at its end. Change: agents wait a second for a plan from a peer and accept listings that are seconds old; the first write waits for the target; a fact that differs only in its version is not written for a minute; a target that has gone deletes the object; Remove repeats its call for two seconds, as an object that is left would be in use again after a restart of all. Six entries of the fleet watch the plan, at least one a data centre, instead of two each. Tests: TestLifeOfAgentCostsFourCalls, TestInstanceThatStopsWhileTheStoreIsAwayIsRemoved.

--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -150,7 +150,7 @@
 	}
 	a.node.Gossip.Do(ctx, func(now time.Time) { a.node.Gossip.SetState(now, state) })
 	if gone {
-		a.node.Registrar.Remove(ctx, a.settings.Instance)
+		a.node.Registrar.Remove(ctx)
 		return
 	}
 	for end := time.Now().Add(inProgressTimeout); time.Now().Before(end); time.Sleep(inProgressPollInterval) {
--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -138,7 +138,7 @@
 	e.process.SetStopping()
 	time.Sleep(deregistrationDelay)
 	e.node.Gossip.Do(ctx, func(now time.Time) { e.node.Gossip.SetState(now, facts.StateLeft) })
-	e.node.Registrar.Remove(ctx, e.settings.Instance)
+	e.node.Registrar.Remove(ctx)
 }
 
 // Packet processes one received packet. It runs on the packet loop's goroutine.
--- a/entry/cmd/storeWatcher.go
+++ b/entry/cmd/storeWatcher.go
@@ -57,7 +57,7 @@
 	var page store.Page
 	var err error
 	if revision == 0 {
-		page, err = w.client.List(ctx, services.DocumentKind)
+		page, err = w.client.List(ctx, services.DocumentKind, false)
 	} else {
 		page, err = w.client.Watch(ctx, services.DocumentKind, revision, watchWait)
 	}
--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -20,11 +20,12 @@
 const (
 	// exchangePeriod is the interval between exchanges with each peer.
 	exchangePeriod = 400 * time.Millisecond
-	// watchersPerDataCentre is the number of entries per data centre that watch the plan. There are two because one
-	// may be disconnected or suspended.
-	watchersPerDataCentre = 2
-	// initialPeerWait is how long an instance without a plan waits for one from its peers before it reads the store.
-	initialPeerWait = 150 * time.Millisecond
+	// minWatchers is the number of entries of the fleet that watch the plan, and at least one in each data centre does.
+	// Some of them may be disconnected or suspended.
+	minWatchers = 6
+	// initialPeerWait is how long an agent without a plan waits for one from its peers before it reads the store. It first
+	// has to learn of its peers. Without a plan, it accepts the flows that entries place on it.
+	initialPeerWait = time.Second
 	// agentSeedDelay is how long an agent waits for members from the store before it turns to the seeds.
 	agentSeedDelay = time.Second
 	// peerSilenceLimit is the time without an answer from any peer after which an instance reads the store itself.
@@ -148,16 +149,20 @@
 }
 
 // isWatcher reports whether self is one of the watchers of its data centre, which are the serving entries with the
-// highest scores.
+// highest scores. There are minWatchers in the fleet, the same number in each data centre.
 func isWatcher(self facts.Member, members []facts.Member) bool {
 	selfScore, higher := watcherScore(self.Instance), 0
+	dataCentres := map[string]bool{self.DataCentre: true}
 	for _, m := range members {
-		eligible := m.Role == facts.RoleEntry && m.State == facts.StateServing && m.DataCentre == self.DataCentre
-		if eligible && m.Instance != self.Instance && watcherScore(m.Instance) > selfScore {
+		if m.Role != facts.RoleEntry || m.State != facts.StateServing {
+			continue
+		}
+		dataCentres[m.DataCentre] = true
+		if m.DataCentre == self.DataCentre && m.Instance != self.Instance && watcherScore(m.Instance) > selfScore {
 			higher++
 		}
 	}
-	return higher < watchersPerDataCentre
+	return higher < (minWatchers+len(dataCentres)-1)/len(dataCentres)
 }
 
 // watcherScore returns the rendezvous weight of an entry for the choice of watchers.
--- a/kernel/control/plans.go
+++ b/kernel/control/plans.go
@@ -141,7 +141,7 @@
 	var page store.Page
 	var err error
 	if revision == 0 {
-		page, err = p.Store.List(ctx, kind)
+		page, err = p.Store.List(ctx, kind, false)
 	} else {
 		page, err = p.Store.Watch(ctx, kind, revision, watchTimeout)
 	}
--- a/kernel/control/registrar.go
+++ b/kernel/control/registrar.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +33,14 @@
 	// listings of the agents, which serve without one, would hold up those of the entries on the store's link.
 	agentListDelay  = 150 * time.Millisecond
 	agentListSpread = 400 * time.Millisecond
+	// initialTargetWait is how long an agent waits with its first write for the announcement of its target, which its object
+	// is of no use without. Targets announce themselves every 770 ms.
+	initialTargetWait = 900 * time.Millisecond
+	// rewriteInterval is how long an unchanged fact is not written again. It is shorter than DownRetention, so that an
+	// instance that returns after its object was removed writes it.
+	rewriteInterval = time.Minute
+	// removeTimeout limits the repeated attempts to delete the object of an instance that stops.
+	removeTimeout = 2 * time.Second
 	// writeCoalesceDelay is the delay before a write, so that changes in quick succession are written at once.
 	writeCoalesceDelay = 20 * time.Millisecond
 )
@@ -53,6 +62,12 @@
 	removed   map[string]bool
 	// objectExists is set once this instance's object is known to exist in the store.
 	objectExists bool
+	// written is the last fact that was written, and writtenAt is when.
+	written   facts.Fact
+	writtenAt time.Time
+	// deleted is set once the object was deleted because the target has terminated. stopping is set by Remove.
+	deleted  atomic.Bool
+	stopping atomic.Bool
 }
 
 // Start reads the members, writes this instance's fact after each change and removes stale objects until ctx is
@@ -96,7 +111,7 @@
 			return
 		case <-r.changed:
 			sleep(ctx, writeCoalesceDelay)
-			if !r.retry(ctx, r.writeSelf) {
+			if !r.awaitTarget(ctx) || !r.retry(ctx, r.writeSelf) {
 				return
 			}
 			continue
@@ -144,9 +159,10 @@
 	return r.Gossip.Do(ctx, func(now time.Time) { r.Gossip.Accept(now, []facts.Fact{f}) })
 }
 
-// listMembers accepts the valid member facts in the store. It reports whether the call succeeded.
+// listMembers accepts the valid member facts in the store. What an agent reads may be out of date: it needs only some
+// entries, from which it learns the rest. It reports whether the call succeeded.
 func (r *Registrar) listMembers(ctx context.Context) bool {
-	page, err := r.Store.List(ctx, KindInstances)
+	page, err := r.Store.List(ctx, KindInstances, r.Gossip.Self.Role == facts.RoleAgent)
 	r.health.observe(err)
 	if err != nil {
 		r.Gossip.Do(ctx, func(time.Time) { r.Gossip.SeedDelay = 0 })
@@ -194,13 +210,54 @@
 	return f, err == nil && m.Instance == f.Name && m.Packets.IsValid() && m.Control.IsValid()
 }
 
-// writeSelf writes this instance's fact to the store. It returns false if the call must be repeated.
+// awaitTarget waits until an agent that has just started knows its target, but not longer than initialTargetWait. It
+// returns false if ctx is cancelled first.
+func (r *Registrar) awaitTarget(ctx context.Context) bool {
+	timeout := time.NewTimer(initialTargetWait)
+	defer timeout.Stop()
+	for r.Gossip.Self.Role == facts.RoleAgent && !r.objectExists && !r.hasTarget(ctx) {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timeout.C:
+			return true
+		case <-r.changed:
+		}
+	}
+	return true
+}
+
+// hasTarget reports whether this instance has published the state of its target.
+func (r *Registrar) hasTarget(ctx context.Context) bool {
+	has := false
+	r.Gossip.Do(ctx, func(time.Time) { has = r.Gossip.Self.Target != nil })
+	return has
+}
+
+// writeSelf writes this instance's fact to the store, unless only its version differs from what the store holds. It
+// removes the object once the target has terminated. It returns false if the call must be repeated.
 func (r *Registrar) writeSelf(ctx context.Context) bool {
+	if r.stopping.Load() {
+		return true
+	}
 	var f facts.Fact
-	var ok bool
-	if !r.Gossip.Do(ctx, func(time.Time) { f, ok = r.Gossip.SelfFact() }) || !ok {
+	var ok, gone bool
+	var now time.Time
+	done := r.Gossip.Do(ctx, func(t time.Time) {
+		now = t
+		f, ok = r.Gossip.SelfFact()
+		gone = r.Gossip.Self.Target != nil && r.Gossip.Self.Target.State == facts.TargetGone
+	})
+	if !done || !ok {
 		return ctx.Err() != nil
 	}
+	if r.objectExists && f.Body == r.written.Body && f.Incarnation == r.written.Incarnation && now.Sub(r.writtenAt) < rewriteInterval {
+		return true
+	}
+	if gone {
+		return r.deleted.Load() || r.delete(ctx, f)
+	}
+	r.deleted.Store(false)
 	spec, err := json.Marshal(f)
 	if err != nil {
 		events.FactRefused.Log(r.Logger, events.ErrorAttr(err))
@@ -218,15 +275,40 @@
 		return false
 	}
 	r.health.observe(err)
-	r.objectExists = r.objectExists || err == nil
+	if err == nil {
+		r.objectExists, r.written, r.writtenAt = true, f, now
+	}
 	return err == nil
 }
 
-// Remove deletes the store object of an instance.
-func (r *Registrar) Remove(ctx context.Context, instance string) {
-	if err := r.Store.Delete(ctx, KindInstances, instance, 0); err != nil {
-		events.StoreUnavailable.Log(r.Logger, events.ErrorAttr(err))
+// delete deletes the object of this instance, whose target has terminated according to f. It returns false if the call
+// must be repeated.
+func (r *Registrar) delete(ctx context.Context, f facts.Fact) bool {
+	err := r.Store.Delete(ctx, KindInstances, f.Name, 0)
+	r.health.observe(err)
+	if err == nil {
+		r.objectExists, r.written = false, facts.Fact{}
+		r.deleted.Store(true)
 	}
+	return err == nil
+}
+
+// Remove deletes the object of this instance, which stops, unless it was deleted before. It repeats the call for
+// removeTimeout at most: with an object that is left, the instance would be in use again after the next restart of all.
+func (r *Registrar) Remove(ctx context.Context) {
+	r.stopping.Store(true)
+	if r.deleted.Load() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, removeTimeout)
+	defer cancel()
+	r.retry(ctx, func(ctx context.Context) bool {
+		err := r.Store.Delete(ctx, KindInstances, r.Gossip.Self.Instance, 0)
+		if err != nil {
+			events.StoreUnavailable.Log(r.Logger, events.ErrorAttr(err))
+		}
+		return err == nil
+	})
 }
 
 // backoff is an exponential backoff with jitter. The zero value is ready to use.
--- a/kernel/store/store.go
+++ b/kernel/store/store.go
@@ -77,6 +77,8 @@
 	Revision uint64
 	// After is the name of the last object of the previous page of a list call. It is empty for the first page.
 	After string
+	// Stale allows a list call to return what is some seconds out of date.
+	Stale bool
 	// Wait is how long a watch waits for a change.
 	Wait time.Duration
 	// Spec is the content of the object to create or replace.
@@ -160,12 +162,13 @@
 }
 
 // List reads all objects of a kind, page by page. The result has the revision of the first page, so that a watch from
-// there reports every change made during the listing.
-func (c *Client) List(ctx context.Context, kind string) (Page, error) {
+// there reports every change made during the listing. With stale, the result may be some seconds out of date, which costs
+// the store less.
+func (c *Client) List(ctx context.Context, kind string, stale bool) (Page, error) {
 	var all Page
 	after := ""
 	for range maxPages {
-		p, err := c.callPage(ctx, Call{Operation: OperationList, Kind: kind, After: after}, callTimeout)
+		p, err := c.callPage(ctx, Call{Operation: OperationList, Kind: kind, After: after, Stale: stale}, callTimeout)
 		if err != nil {
 			return Page{}, err
 		}
--- a/rig/store/audit_test.go
+++ b/rig/store/audit_test.go
@@ -18,7 +18,7 @@
 func readTrail(t *testing.T, s *testStore) audit.Trail {
 	c, err := store.NewClient(s.url, store.DefaultDialect)
 	require.NoError(t, err)
-	page, err := c.List(context.Background(), control.KindAudit)
+	page, err := c.List(context.Background(), control.KindAudit, false)
 	require.NoError(t, err)
 	var trail audit.Trail
 	for _, o := range page.Objects {
--- a/rig/store/control_test.go
+++ b/rig/store/control_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -46,7 +47,10 @@
 	// silentWatches makes watches return nothing until the client gives up.
 	silentWatches atomic.Bool
 	calls         atomic.Int64
-	url           string
+	// memberCalls and planReads count the calls about members, and the reads and lists of plans without the watches.
+	memberCalls atomic.Int64
+	planReads   atomic.Int64
+	url         string
 }
 
 func startStore(t *testing.T) *testStore {
@@ -54,6 +58,12 @@
 	handler := s.server.Handler()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.calls.Add(1)
+		switch {
+		case strings.Contains(r.URL.Path, control.KindInstances):
+			s.memberCalls.Add(1)
+		case r.Method == http.MethodGet && !r.URL.Query().Has("watch"):
+			s.planReads.Add(1)
+		}
 		if s.unavailable.Load() {
 			panic(http.ErrAbortHandler)
 		}
@@ -244,6 +254,60 @@
 	})
 }
 
+// Pattern: a large fleet replaces its instances, or returns after a loss of power, and every call to the store is paid
+// for. An agent reads its own object, lists the members and writes its object once, when it knows its target; it gets the
+// plan from a peer. Its end costs one call.
+func TestLifeOfAgentCostsFourCalls(t *testing.T) {
+	s := startStore(t)
+	s.putPlan(t, 3)
+	e := startInstance(t, s, "entry", facts.RoleEntry, freeAddress(t))
+	// An entry without a peer that answers would list the members, too.
+	other := startInstance(t, s, "other", facts.RoleEntry, freeAddress(t))
+	eventually(t, "plan", func() bool { return e.node.Plans.Version() == 3 && other.node.Plans.Version() == 3 })
+	eventually(t, "entries", func() bool {
+		return !e.node.Gossip.LastReply().IsZero() && !other.node.Gossip.LastReply().IsZero()
+	})
+	members, plans := s.memberCalls.Load(), s.planReads.Load()
+	a := startInstance(t, s, "agent", facts.RoleAgent, freeAddress(t))
+	target := facts.Target{ID: "t", StartedMs: 7, State: facts.TargetReady, Slots: 4}
+	a.node.Gossip.Do(context.Background(), func(now time.Time) { a.node.Gossip.SetTarget(now, target) })
+	eventually(t, "members and plan", func() bool {
+		return e.seesServing("agent") && a.seesServing("entry") && a.node.Plans.Version() == 3
+	})
+	time.Sleep(200 * time.Millisecond)
+	require.Equal(t, int64(3), s.memberCalls.Load()-members)
+	require.Zero(t, s.planReads.Load()-plans)
+	target.State = facts.TargetGone
+	a.node.Gossip.Do(context.Background(), func(now time.Time) { a.node.Gossip.SetTarget(now, target) })
+	eventually(t, "object deleted", func() bool { return s.memberCalls.Load()-members == 4 })
+	a.node.Registrar.Remove(context.Background())
+	require.Equal(t, int64(4), s.memberCalls.Load()-members)
+}
+
+// A refusal or loss of the last call of an instance that stops left its object in the store. After a restart of all
+// processes, the instance was in use again.
+func TestInstanceThatStopsWhileTheStoreIsAwayIsRemoved(t *testing.T) {
+	s := startStore(t)
+	e := startInstance(t, s, "entry", facts.RoleEntry, freeAddress(t))
+	c, err := store.NewClient(s.url, store.DefaultDialect)
+	require.NoError(t, err)
+	exists := func() bool {
+		_, err := c.Get(context.Background(), control.KindInstances, "entry")
+		return err == nil
+	}
+	eventually(t, "object", exists)
+	s.unavailable.Store(true)
+	removed := make(chan struct{})
+	go func() {
+		e.node.Registrar.Remove(context.Background())
+		close(removed)
+	}()
+	time.Sleep(300 * time.Millisecond)
+	s.unavailable.Store(false)
+	<-removed
+	require.False(t, exists())
+}
+
 // TestObjectsOfDeadInstancesAreRemoved checks that the object of an instance that stays down is removed once its
 // retention time is over. An instance that returns later writes its object again.
 func TestObjectsOfDeadInstancesAreRemoved(t *testing.T) {
@@ -293,7 +357,7 @@
 	require.Less(t, s.calls.Load(), int64(60), "two loops wait at least 50 ms between calls, with growing delays")
 	c, err := store.NewClient(s.url, store.DefaultDialect)
 	require.NoError(t, err)
-	_, err = c.List(context.Background(), "k")
+	_, err = c.List(context.Background(), "k", false)
 	var unavailable *store.UnavailableError
 	require.True(t, errors.As(err, &unavailable))
 }
--- a/rig/store/store_test.go
+++ b/rig/store/store_test.go
@@ -69,7 +69,7 @@
 		_, err := c.Create(ctx, "k", fmt.Sprintf("o%04d", i), testSpec(i))
 		require.NoError(t, err)
 	}
-	p, err := c.List(ctx, "k")
+	p, err := c.List(ctx, "k", false)
 	require.NoError(t, err)
 	require.Len(t, p.Objects, pageSize+20)
 }
@@ -78,7 +78,7 @@
 	ctx := context.Background()
 	server := &Server{}
 	c := newTestClient(t, server.Handler())
-	p, err := c.List(ctx, "k")
+	p, err := c.List(ctx, "k", false)
 	require.NoError(t, err)
 	_, err = c.Create(ctx, "k", "a", testSpec(1))
 	require.NoError(t, err)
@@ -106,7 +106,7 @@
 		"aborted":           func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
 	} {
 		c := newTestClient(t, handler)
-		_, err := c.List(context.Background(), "k")
+		_, err := c.List(context.Background(), "k", false)
 		var unavailable *store.UnavailableError
 		require.ErrorAs(t, err, &unavailable, name)
 	}
