Own fabric: four faults of flows that move or begin again

Causes, by trial of an earlier reader and by reading: (1) an agent whose offer got no reply asked the former holder, which answered that it was granted although the flow had gone to a third agent at the next epoch, so two held it (offerOutcome compared epochs with >=). (2) An announcement from the own address added a flow without a request boundary, on which the next drain panicked. (3) A RST during the handshake ended no flow, and a drain waited for it up to its limit. (4) The stack's reset of the earlier connection of a 4-tuple marked the new one as closing, so that it was never moved. Change: a grant counts at its own epoch only; own announcements are ignored; a RST in sequence before the accept closes the flow; before its SYN-ACK, a flow takes no packet of the stack.

--- a/agent/caller/announcer.go
+++ b/agent/caller/announcer.go
@@ -62,6 +62,9 @@
 
 // Announce records that another agent holds the given flows.
 func (t *Terminator) Announce(_ context.Context, r AnnounceRequest) (AnnounceReply, error) {
+	if r.From == t.Self.Packets {
+		return AnnounceReply{}, nil
+	}
 	now := time.Now()
 	for _, e := range r.Flows {
 		f, found := t.flows.findOrAdd(e.Flow, e.Flow.Hash(t.Keys.Hash))
--- a/agent/caller/emitter.go
+++ b/agent/caller/emitter.go
@@ -44,6 +44,10 @@
 	defer f.mutex.Unlock()
 	switch f.state {
 	case stateLocal:
+		if !f.opened && !p.Flags.Contains(header.TCPFlagSyn) {
+			// The packet belongs to an earlier connection of the same 4-tuple, which was aborted for the new one.
+			return false
+		}
 		f.translateFromStack(p, f.key.InitialSequence(t.Keys.Hash, f.callerISN), now)
 		return true
 	case statePreparing:
--- a/agent/caller/flow.go
+++ b/agent/caller/flow.go
@@ -184,6 +184,12 @@
 	return f.state == stateLocal && f.closing && !f.closedAt.IsZero()
 }
 
+// endsBeforeAccept reports whether a packet resets a connection that the HTTP side has not accepted. Nothing else would
+// note its end, and a drain would wait for it.
+func (f *flow) endsBeforeAccept(p gue.Packet) bool {
+	return f.conn == nil && p.Flags.Contains(header.TCPFlagRst) && p.TCP.SequenceNumber() == f.callerNext
+}
+
 // lateWindow is the distance in octets behind the end of a finished connection within which a packet counts as late.
 const lateWindow = 1 << 20
 
--- a/agent/caller/prepare.go
+++ b/agent/caller/prepare.go
@@ -229,7 +229,9 @@
 	return reply, nil
 }
 
-// offerOutcome returns the outcome of the offer of a flow at an epoch. An unknown flow counts as aborted.
+// offerOutcome returns the outcome of the offer of a flow at an epoch. An unknown flow counts as aborted, and so does a
+// flow that was granted at a later epoch: that grant went to another agent, because an agent whose offer was granted is
+// the only one that can move the flow on.
 func (t *Terminator) offerOutcome(e FlowEpoch) OfferOutcome {
 	f := t.flows.find(e.Flow, e.Flow.Hash(t.Keys.Hash))
 	if f == nil {
@@ -240,7 +242,7 @@
 	switch {
 	case f.state == stateOffered:
 		return OfferUndecided
-	case f.state == stateRemote && f.epoch >= e.Epoch:
+	case f.state == stateRemote && f.epoch == e.Epoch:
 		return OfferGranted
 	default:
 		return OfferAborted
--- a/agent/caller/receiver.go
+++ b/agent/caller/receiver.go
@@ -192,6 +192,9 @@
 		t.handleUnknownFlow(f, in, now)
 		return
 	}
+	if f.endsBeforeAccept(in.packet) {
+		f.closedAt = now
+	}
 	f.translateFromCaller(in.packet)
 	t.stack.Load().InjectInbound(in.inner[:len(in.packet.IP)])
 	if f.closing && f.conn != nil {
