An agent finds out that its target's process is gone

A crashed target's callers waited until their deadline. Change: the agent connects to the address on which its target listens (targetListener) after its start, when a SYN is unanswered for 100 ms, or without an announcement for 1.2 s, five times a second at most. A refusal shows that there is no process: the agent resets the target's flows, refuses new ones, and knows the flows of the next process.

--- a/agent/cmd/packetHandlers.go
+++ b/agent/cmd/packetHandlers.go
@@ -18,13 +18,14 @@
 	a.step(now, func(out *flow.Output) { a.flowAgent.HandleEntryPacket(now, from, packet, out) })
 }
 
-// Tick expires flows and logs how many log records the rate limiter suppressed.
+// Tick expires flows, logs how many log records the rate limiter suppressed, and checks the target if needed.
 func (h entryPacketHandler) Tick(now time.Time, _ bool) {
 	a := h.agent
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.step(now, func(out *flow.Output) { a.flowAgent.Sweep(now, out) })
 	a.recorder.LogSuppressed(now)
+	a.checkTarget(now)
 }
 
 // Resumed logs that the process resumed after a pause and how many queued packets from entries were dropped.
--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -114,6 +114,9 @@
 		return err
 	}
 	a.reloader.Start(lifetime)
+	a.mutex.Lock()
+	a.checkTarget(time.Now())
+	a.mutex.Unlock()
 	server := &announcementServer{listener: listener, handler: a.protocol.Handler(a), logger: a.process.Logger}
 	context.AfterFunc(lifetime, func() { _ = listener.Close() })
 	go server.run()
--- a/agent/cmd/settings.go
+++ b/agent/cmd/settings.go
@@ -56,8 +56,10 @@
 	// The following addresses are for a target that terminates callers' TCP connections itself: it receives packets at
 	// TargetPackets, sends packets to Outbound and sends announcements to Announcements.
 	TargetPackets netip.AddrPort `yaml:"targetPackets"`
-	Outbound      netip.AddrPort `yaml:"outbound"`
-	Announcements netip.AddrPort `yaml:"announcements"`
+	// TargetListener is a TCP address on which the target listens while its process exists. It is optional.
+	TargetListener netip.AddrPort `yaml:"targetListener"`
+	Outbound       netip.AddrPort `yaml:"outbound"`
+	Announcements  netip.AddrPort `yaml:"announcements"`
 }
 
 // Validate returns all violations in the settings.
--- /dev/null
+++ b/agent/cmd/targetCheck.go
@@ -0,0 +1,44 @@
+package cmd
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/coltsfootline/coltsfootline/kernel/flow"
+)
+
+// targetCheckTimeout limits a connection attempt to the target. Only a refusal shows that there is no process.
+const targetCheckTimeout = 200 * time.Millisecond
+
+// targetCheck finds out whether the target's process exists.
+type targetCheck struct {
+	agent   *passthroughAgent
+	started time.Time
+}
+
+// checkTarget starts a check if one is needed. The caller must hold the mutex.
+func (a *passthroughAgent) checkTarget(now time.Time) {
+	if a.settings.TargetListener.IsValid() && a.flowAgent.NeedsTargetCheck(now) {
+		go (&targetCheck{agent: a, started: now}).run()
+	}
+}
+
+// run connects to the address on which the target listens while it runs.
+func (c *targetCheck) run() {
+	a := c.agent
+	connection, err := net.DialTimeout("tcp4", a.settings.TargetListener.String(), targetCheckTimeout)
+	if err == nil {
+		_ = connection.Close()
+		return
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	now := time.Now()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.step(now, func(out *flow.Output) { a.flowAgent.TargetAbsent(now, c.started, out) })
+}
--- a/kernel/dataplane/recorder.go
+++ b/kernel/dataplane/recorder.go
@@ -120,6 +120,8 @@
 		return events.AnswerLate
 	case flow.ActionProbed:
 		return events.FlowsProbed
+	case flow.ActionTargetAbsent:
+		return events.TargetAbsent
 	}
 	return events.FlowDropped
 }
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -55,6 +55,7 @@
 	FlowDropped         = define(510, "flowDropped", slog.LevelInfo, "packet dropped: SYN for an address without a route, or reset by a target that does not hold the flow; see the reason")
 	RequestCarried      = define(511, "requestCarried", slog.LevelInfo, "request forwarded to the target; count: requests in flight, ageMs: time since the flow became busy, with its SYN or with a later request")
 	AnswerLate          = define(512, "answerLate", slog.LevelInfo, "target started its response later than the route's objective; count: other requests in flight, ageMs: time since the flow became busy")
+	TargetAbsent        = define(513, "targetAbsent", slog.LevelWarn, "process of the target does not exist; its flows are reset and new ones refused until it announces itself; count: flows that were open")
 	TargetChanged       = define(520, "targetChanged", slog.LevelInfo, "target reported a change of its state")
 	AnnouncementRefused = define(521, "announcementRefused", slog.LevelWarn, "announcement rejected because it can't be decoded, is late or is for another service; see the reason")
 )
--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -21,6 +21,7 @@
 	af, known := a.flows.Get(f)
 	if known && af.state != stateClosed {
 		af.lastPacket = now
+		a.expectSYNACK(now)
 		a.sendToTarget(from.Addr(), packet, out)
 		return
 	}
@@ -34,9 +35,17 @@
 	a.track(f, af)
 	a.setBusy(af, now)
 	a.handshakes = append(a.handshakes, handshake{flow: f, started: now})
+	a.expectSYNACK(now)
 	a.sendToTarget(from.Addr(), packet, out)
 }
 
+// expectSYNACK records that a SYN is sent to the target.
+func (a *Agent) expectSYNACK(now time.Time) {
+	if a.liveness.unansweredSYN.IsZero() {
+		a.liveness.unansweredSYN = now
+	}
+}
+
 // checkNewFlow returns CodeNone if the target may receive a new flow. Otherwise it returns the code and the reason for
 // refusing the flow.
 func (a *Agent) checkNewFlow(now time.Time, f gue.Flow, hdr *Header) (Code, string) {
@@ -45,6 +54,8 @@
 		return CodeRefused, "noTarget"
 	case a.leaving:
 		return CodeRefused, "leaving"
+	case a.liveness.absent:
+		return CodeRefused, "targetAbsent"
 	case a.target.State != facts.TargetReady:
 		return CodeRefused, "draining"
 	case a.lastHeartbeat.IsZero() && now.Sub(a.started) > heartbeatGrace:
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -55,6 +55,9 @@
 	// sawAllSYNs is set if the agent has seen every SYN that the target's present incarnation has received, so that the
 	// target holds no other flows than the agent tracks.
 	sawAllSYNs bool
+	liveness   liveness
+	// lastTargetPacket is when the target last sent a packet.
+	lastTargetPacket time.Time
 	// digest holds the low 32 bits of the digest of the service's group, as known to this agent.
 	digest uint32
 	flows  *simplelru.LRU[gue.Flow, *agentFlow]
@@ -126,12 +129,13 @@
 func (a *Agent) UpdateTarget(now time.Time, t facts.Target, fromTarget bool, out *Output) {
 	a.ensureInitialized(now)
 	restarted := a.target != nil && !a.target.SameIncarnation(t)
-	if fromTarget && (restarted || a.lastHeartbeat.IsZero()) {
+	if fromTarget && (restarted || a.lastHeartbeat.IsZero()) && !a.liveness.absent {
 		a.sawAllSYNs = a.sawStartOf(now, t)
 	}
 	a.target = &t
 	if fromTarget {
 		a.lastHeartbeat = now
+		a.noteTargetPresent()
 	}
 	if restarted {
 		a.probeOpenFlows(now, out)
--- a/kernel/flow/output.go
+++ b/kernel/flow/output.go
@@ -44,6 +44,8 @@
 	ActionRequestForwarded
 	// ActionAnswerLate forwards an answer that missed the route's objective.
 	ActionAnswerLate
+	// ActionTargetAbsent ends the flows of a target whose process no longer exists.
+	ActionTargetAbsent
 )
 
 // Decision records a decision about a flow and what it was based on.
--- a/kernel/flow/reply.go
+++ b/kernel/flow/reply.go
@@ -11,6 +11,9 @@
 func (a *Agent) HandleTargetPacket(now time.Time, packet []byte, out *Output) {
 	a.ensureInitialized(now)
 	hdr, reason := a.Codec.Parse(packet)
+	a.lastTargetPacket = now
+	a.liveness.unansweredSYN = time.Time{}
+	a.noteTargetPresent()
 	switch {
 	case reason != gue.ReasonNone:
 		out.DropReason = reason
