One malformed input no longer ends a process; an answer that breaks off does not look complete

Cause: a panic on one packet ended an entry, and after its restart the next packet did. The same for messages and control tasks. On the own fabric, an answer without a length whose target broke it off ended with a FIN, as a complete one does. Change: panics of one packet, message or task are logged (inputPanicked) and cost that input; such a connection is reset.

--- a/agent/caller/conn.go
+++ b/agent/caller/conn.go
@@ -38,6 +38,8 @@
 	headerLimit io.LimitedReader
 	reader      *bufio.Reader
 	boundary    *requestBoundary
+	// brokenOff is set if a response could not be written to its end.
+	brokenOff bool
 
 	mutex  sync.Mutex
 	cancel context.CancelFunc
@@ -85,6 +87,10 @@
 func (c *conn) run(ctx context.Context) {
 	for c.awaitRequest(ctx) && c.serveRequest(ctx) {
 	}
+	if c.brokenOff {
+		// A FIN would make a response without a length look complete.
+		c.endpoint.Abort()
+	}
 	c.terminator.finishConn(c, time.Now())
 }
 
@@ -179,6 +185,7 @@
 	response.ProtoMajor, response.ProtoMinor = 1, 1
 	response.Close = response.Close || r.Close || !r.ProtoAtLeast(1, 1) || bodyUnrequested
 	err := c.writeResponse(response)
+	c.brokenOff = err != nil
 	_ = response.Body.Close()
 	return err == nil && !response.Close && discardBody(body)
 }
--- a/agent/caller/move_test.go
+++ b/agent/caller/move_test.go
@@ -1,10 +1,13 @@
 package caller
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -266,3 +269,27 @@
 		require.Equal(t, tb.members[from].Instance, c.request())
 	}
 }
+
+// brokenHandler returns a response without a length whose body breaks off.
+type brokenHandler struct{}
+
+func (brokenHandler) Serve(context.Context, *http.Request) *http.Response {
+	body := io.MultiReader(strings.NewReader("half of the answer"), iotest.ErrReader(io.ErrUnexpectedEOF))
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, ContentLength: -1, Close: true, Body: io.NopCloser(body)}
+}
+
+// TestResponseThatBreaksOffDoesNotLookComplete checks that a caller can tell a response that its target broke off from a
+// complete one, also if only the end of the connection marks the end of the response.
+func TestResponseThatBreaksOffDoesNotLookComplete(t *testing.T) {
+	tb := newTestbed(t, 1)
+	tb.agents[0].Handler = brokenHandler{}
+	c := tb.dial()
+	require.NoError(t, c.socket.SetDeadline(time.Now().Add(settleTimeout)))
+	_, err := io.WriteString(c.socket, "GET / HTTP/1.1\r\nHost: service\r\nConnection: close\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(c.reader, nil)
+	if err == nil {
+		_, err = io.ReadAll(response.Body)
+	}
+	require.ErrorContains(t, err, "reset")
+}
--- a/kernel/dataplane/loop.go
+++ b/kernel/dataplane/loop.go
@@ -106,11 +106,18 @@
 		case pauseBetween(previous, arrived) > maxPause:
 			// Drop this packet. The next iteration discards the rest of the socket's queue.
 		default:
-			l.Handler.Packet(arrived, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n])
+			l.handle(arrived, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n])
 		}
 	}
 }
 
+// handle passes a packet to the handler. If that panics, it drops the packet: one packet must not end the process, and
+// after its restart the next one.
+func (l *Loop) handle(now time.Time, from netip.AddrPort, packet []byte) {
+	defer events.RecoverInput(l.Logger, "packet")
+	l.Handler.Packet(now, from, packet)
+}
+
 // pauseBetween returns the time between two clock readings. It returns the longer of the times by the monotonic clock
 // and by the wall clock, because only the wall clock advances while the machine is suspended.
 func pauseBetween(previous, now time.Time) time.Duration {
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -33,6 +33,7 @@
 	EntryRemoved        = define(205, "entryRemoved", slog.LevelInfo, "store object of an instance that is down was deleted; ageMs: time since the instance was found down")
 	AuditDropped        = define(206, "auditDropped", slog.LevelWarn, "changes dropped from the audit trail because too many were waiting for the store")
 	PacketReadFailed    = define(300, "packetReadFailed", slog.LevelError, "reading packets failed")
+	InputPanicked       = define(301, "inputPanicked", slog.LevelError, "handling one packet or message panicked; it is dropped and the process goes on")
 	StackRefused        = define(400, "stackRefused", slog.LevelError, "TCP stack failed: it can't serve the service's address or can't accept connections")
 	ServiceKnown        = define(401, "serviceKnown", slog.LevelInfo, "service of this agent is known; packets to its address are accepted")
 	DrainStarted        = define(410, "drainStarted", slog.LevelInfo, "drain started")
--- a/kernel/peer/client_test.go
+++ b/kernel/peer/client_test.go
@@ -122,3 +122,26 @@
 	require.NoError(t, p.Call(context.Background(), to, "echo", "hello", &reply))
 	require.Equal(t, "hello", reply)
 }
+
+// A message that makes a handler panic must fail for its sender and not end the process.
+func TestPanicOfHandlerFailsTheCall(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().(*net.TCPAddr).AddrPort()
+	require.NoError(t, l.Close())
+	logger := slog.New(slog.DiscardHandler)
+	server := &Server{Address: address, Logger: logger, Handlers: map[string]Handler{
+		"bad":  func(context.Context, json.RawMessage) (any, error) { panic("no member") },
+		"good": func(context.Context, json.RawMessage) (any, error) { return 7, nil },
+	}}
+	require.NoError(t, server.Start(ctx))
+	pool := &Pool{Logger: logger}
+	defer pool.Close()
+	var result int
+	var failed *CallError
+	require.ErrorAs(t, pool.Call(ctx, address, "bad", nil, &result), &failed)
+	require.NoError(t, pool.Call(ctx, address, "good", nil, &result))
+	require.Equal(t, 7, result)
+}
--- a/kernel/peer/gossip.go
+++ b/kernel/peer/gossip.go
@@ -158,12 +158,14 @@
 	return g.view.Load()
 }
 
-// Do runs f on the control goroutine and waits for it to return. It returns false if ctx is cancelled first.
+// Do runs f on the control goroutine and waits for it to return. It returns false if ctx is cancelled first. A panic of f
+// is logged, because f may handle what a peer sent.
 func (g *Gossip) Do(ctx context.Context, f func(now time.Time)) bool {
 	done := make(chan struct{})
 	task := func(now time.Time) {
+		defer close(done)
+		defer events.RecoverInput(g.Logger, "task")
 		f(now)
-		close(done)
 	}
 	select {
 	case g.tasks <- task:
--- a/kernel/peer/server.go
+++ b/kernel/peer/server.go
@@ -89,6 +89,13 @@
 	if r.Params != nil {
 		params = *r.Params
 	}
+	return s.call(ctx, h, params)
+}
+
+// call calls a handler. If that panics, the caller gets an error.
+func (s *Server) call(ctx context.Context, h Handler, params json.RawMessage) (result any, err error) {
+	err = &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "handler failed"}
+	defer events.RecoverInput(s.Logger, "message")
 	return h(ctx, params)
 }
 
