An agent that stops without its target leaves the membership at once

Change: an agent that stops checks its target; without one, it publishes that it has left, waits until its links had time to send that, and deletes its object.

--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -140,22 +140,20 @@
 }
 
 // shutDown tells the entries to place new flows on other agents and waits up to inProgressTimeout for requests in
-// progress. If the target has terminated, it instead removes the instance from the store and returns at once.
+// progress. If the target has terminated, it instead removes the instance from the membership and the store and returns at
+// once. Entries would otherwise wait for its denials until they found it silent.
 func (a *passthroughAgent) shutDown(ctx context.Context) {
 	a.mutex.Lock()
 	a.flowAgent.RefuseNewFlows()
 	target, known := a.tracker.Target()
 	a.mutex.Unlock()
-	gone := known && target.State == facts.TargetGone
-	state := facts.StateDraining
-	if gone {
-		state = facts.StateLeft
-	}
-	a.node.Gossip.Do(ctx, func(now time.Time) { a.node.Gossip.SetState(now, state) })
+	gone := known && target.State == facts.TargetGone || a.targetRefusesConnections()
 	if gone {
+		a.node.Gossip.Leave(ctx)
 		a.node.Registrar.Remove(ctx)
 		return
 	}
+	a.node.Gossip.Do(ctx, func(now time.Time) { a.node.Gossip.SetState(now, facts.StateDraining) })
 	for end := time.Now().Add(inProgressTimeout); time.Now().Before(end); time.Sleep(inProgressPollInterval) {
 		a.mutex.Lock()
 		inProgress := a.flowAgent.BusyFlowCount()
--- a/agent/cmd/targetCheck.go
+++ b/agent/cmd/targetCheck.go
@@ -26,15 +26,9 @@
 	}
 }
 
-// run connects to the address on which the target listens while it runs.
 func (c *targetCheck) run() {
 	a := c.agent
-	connection, err := net.DialTimeout("tcp4", a.settings.TargetListener.String(), targetCheckTimeout)
-	if err == nil {
-		_ = connection.Close()
-		return
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	if !a.targetRefusesConnections() {
 		return
 	}
 	now := time.Now()
@@ -42,3 +36,17 @@
 	defer a.mutex.Unlock()
 	a.step(now, func(out *flow.Output) { a.flowAgent.TargetAbsent(now, c.started, out) })
 }
+
+// targetRefusesConnections connects to the address on which the target listens while it runs. A refusal shows that its
+// process does not exist.
+func (a *passthroughAgent) targetRefusesConnections() bool {
+	if !a.settings.TargetListener.IsValid() {
+		return false
+	}
+	connection, err := net.DialTimeout("tcp4", a.settings.TargetListener.String(), targetCheckTimeout)
+	if err == nil {
+		_ = connection.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -137,7 +137,7 @@
 	e.shuttingDown.Store(true)
 	e.process.SetStopping()
 	time.Sleep(deregistrationDelay)
-	e.node.Gossip.Do(ctx, func(now time.Time) { e.node.Gossip.SetState(now, facts.StateLeft) })
+	e.node.Gossip.Leave(ctx)
 	e.node.Registrar.Remove(ctx)
 }
 
