--- a/agent/cmd/agent.go
+++ b/agent/cmd/agent.go
@@ -251,6 +251,6 @@
 	defer cancel()
 	a.terminator.Drain(bounded, a.settings.Drain, a.dispatcher.RefuseNew)
 	a.dispatcher.AwaitIdle(bounded)
-	a.gossip.Do(ctx, func(now time.Time) { a.gossip.SetState(now, facts.StateLeft) })
+	a.gossip.Leave(ctx)
 	a.terminator.Linger(ctx, a.settings.Drain)
 }
--- a/entry/cmd/entry.go
+++ b/entry/cmd/entry.go
@@ -137,7 +137,7 @@
 func (e *entry) shutDown(ctx context.Context, gossip *peer.Gossip) {
 	e.process.SetStopping()
 	e.shuttingDown.Store(true)
-	gossip.Do(ctx, func(now time.Time) { gossip.SetState(now, facts.StateLeft) })
+	gossip.Leave(ctx)
 	time.Sleep(shutdownDelay)
 }
 
