No decision takes a wall clock that was set for passed time

Cause, by reading: pauses of the packet loop were measured with the wall clock, so that a clock set forward made each loop drop the packets in its socket; the last reply of a peer was kept in Unix time, so that a clock set forward made instances list the members and watch the plan, and one set back made an isolated entry take itself for connected. Change: a suspension is read from the clock since boot, only when the clocks differ; the last reply keeps its monotonic reading. Start times of targets are still compared by their own wall clock (announce.Tracker).

--- a/kernel/dataplane/loop.go
+++ b/kernel/dataplane/loop.go
@@ -56,6 +56,8 @@
 	Socket  *net.UDPConn
 	Handler Handler
 	Logger  *slog.Logger
+
+	suspensions suspensionClock
 }
 
 // Listen opens an IPv4 UDP socket and requests larger buffers for it.
@@ -78,12 +80,13 @@
 // run reads packets and calls the handler until ctx is done.
 func (l *Loop) run(ctx context.Context) {
 	buffer := make([]byte, packetBufferBytes)
+	l.suspensions.advance()
 	previous := time.Now()
 	nextTick := previous
 	var idle time.Duration
 	for {
 		now := time.Now()
-		if paused := pauseBetween(previous, now); paused > maxPause {
+		if paused := l.suspensions.pauseBetween(previous, now); paused > maxPause {
 			l.Handler.Resumed(now, paused, l.discardPending(buffer))
 		}
 		previous = now
@@ -103,7 +106,7 @@
 		case err != nil:
 			events.PacketReadFailed.Log(l.Logger, events.ErrorAttr(err))
 			time.Sleep(readRetryDelay)
-		case pauseBetween(previous, arrived) > maxPause:
+		case l.suspensions.pauseBetween(previous, arrived) > maxPause:
 			// Drop this packet. The next iteration discards the rest of the socket's queue.
 		default:
 			l.handle(arrived, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[:n])
@@ -118,12 +121,6 @@
 	l.Handler.Packet(now, from, packet)
 }
 
-// pauseBetween returns the time between two clock readings. It returns the longer of the times by the monotonic clock
-// and by the wall clock, because only the wall clock advances while the machine is suspended.
-func pauseBetween(previous, now time.Time) time.Duration {
-	return max(now.Sub(previous), now.Round(0).Sub(previous.Round(0)))
-}
-
 // discardPending reads and discards the packets in the socket's receive queue, for at most 1 ms, and returns their
 // number.
 func (l *Loop) discardPending(buffer []byte) int {
--- a/kernel/peer/failedPeers_test.go
+++ b/kernel/peer/failedPeers_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -37,3 +38,14 @@
 	}
 	require.GreaterOrEqual(t, working, localPeerCount)
 }
+
+// A wall clock that is set forward made every reply of a peer look old: instances listed the members in the store and
+// watched the plan, and one whose clock was set back took itself for connected while it was not.
+func TestLastReplyKeepsMonotonicTime(t *testing.T) {
+	g := &Gossip{}
+	before := time.Now()
+	g.recordResult(netip.AddrPort{}, nil)
+	at := g.LastReply()
+	require.NotEqual(t, at.Round(0), at, "the monotonic reading is missing")
+	require.False(t, at.Before(before))
+}
--- a/kernel/peer/gossip.go
+++ b/kernel/peer/gossip.go
@@ -87,8 +87,9 @@
 	tasks    chan func(now time.Time)
 	links    map[netip.AddrPort]*link
 	view     atomic.Pointer[View]
-	// lastReply is the time of the last successful call to a peer, in Unix nanoseconds.
-	lastReply atomic.Int64
+	// lastReply is the time of the last successful call to a peer. It keeps the monotonic reading, because the wall clock
+	// may be set by seconds.
+	lastReply atomic.Pointer[time.Time]
 	// failures maps each peer whose last call failed to the time of that failure.
 	failuresMutex sync.Mutex
 	failures      map[netip.AddrPort]time.Time
@@ -98,7 +99,7 @@
 func (g *Gossip) recordResult(to netip.AddrPort, err error) {
 	now := time.Now()
 	if err == nil {
-		g.lastReply.Store(now.UnixNano())
+		g.lastReply.Store(&now)
 	}
 	g.failuresMutex.Lock()
 	defer g.failuresMutex.Unlock()
@@ -129,11 +130,10 @@
 
 // LastReply returns the time of the last successful call to any peer, or the zero time if there was none.
 func (g *Gossip) LastReply() time.Time {
-	at := g.lastReply.Load()
-	if at == 0 {
-		return time.Time{}
+	if at := g.lastReply.Load(); at != nil {
+		return *at
 	}
-	return time.Unix(0, at)
+	return time.Time{}
 }
 
 // Handlers returns the JSON-RPC handlers of Gossip.
