--- a/kernel/facts/address_test.go
+++ b/kernel/facts/address_test.go
@@ -41,7 +41,8 @@
 		members := rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) Member {
 			return agentAt(
 				rapid.StringMatching("[a-z]").Draw(t, "instance"), rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
-				rapid.SampledFrom([]State{StateServing, StateDraining, StateDown, StateLeft}).Draw(t, "state"))
+				rapid.SampledFrom([]State{StateServing, StateDraining, StateDown, StateLeft}).Draw(t, "state"),
+			)
 		}), 0, 6, func(m Member) string { return m.Instance }).Draw(t, "members")
 		holders, conflicts := ResolveAddresses(members)
 		reordered, _ := ResolveAddresses(rapid.Permutation(members).Draw(t, "permutation"))
--- a/kernel/flow/ask.go
+++ b/kernel/flow/ask.go
@@ -150,14 +150,14 @@
 		return
 	}
 	e.refreshSearch(now, f, route, ef)
-	switch {
-	case a == answerHeld:
+	switch a {
+	case answerHeld:
 		ef.lastPacket = now
 		e.handleHere(now, f, hl, out)
 		return
-	case a == answerDenied:
+	case answerDenied:
 		ef.search.recordDenial(hl, sameHosts)
-	case a == answerUnsure:
+	case answerUnsure:
 		ef.search.recordAnswer(hl, a)
 	}
 	if i := ef.search.indexOf(hl); i >= 0 && ef.search.answers[i] == answerUnsure {
