A target whose process is gone is published as gone, so that no search asks its host

Change: the agent publishes the state of an absent target as gone, and as announced again when it returns.

--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -169,10 +169,15 @@
 func (a *passthroughAgent) Accept(now time.Time, announcement announce.Announcement) bool {
 	a.mutex.Lock()
 	target, result := a.tracker.Apply(announcement)
+	wasAbsent := a.flowAgent.TargetIsAbsent()
 	if result == announce.ResultUnchanged || result == announce.ResultChanged {
 		a.step(now, func(out *flow.Output) { a.flowAgent.UpdateTarget(now, target, true, out) })
 	}
 	a.mutex.Unlock()
+	if wasAbsent && result == announce.ResultUnchanged {
+		// The target was published as gone.
+		result = announce.ResultChanged
+	}
 	switch result {
 	case announce.ResultUnchanged:
 		return true
@@ -223,8 +228,12 @@
 	if restored {
 		a.step(now, func(out *flow.Output) { a.flowAgent.UpdateTarget(now, *m.Target, false, out) })
 	}
+	absent := a.flowAgent.TargetIsAbsent()
 	a.mutex.Unlock()
-	if restored {
+	switch {
+	case restored && absent:
+		a.publishTarget(asGone(*m.Target), "store", 0)
+	case restored:
 		a.publishTarget(*m.Target, "store", 0)
 	}
 }
--- a/agent/cmd/targetCheck.go
+++ b/agent/cmd/targetCheck.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
 	"github.com/coltsfootline/coltsfootline/kernel/flow"
 )
 
@@ -33,8 +34,20 @@
 	}
 	now := time.Now()
 	a.mutex.Lock()
-	defer a.mutex.Unlock()
 	a.step(now, func(out *flow.Output) { a.flowAgent.TargetAbsent(now, c.started, out) })
+	target, known := a.tracker.Target()
+	absent := a.flowAgent.TargetIsAbsent()
+	a.mutex.Unlock()
+	if known && absent {
+		a.publishTarget(asGone(target), "check", 0)
+	}
+}
+
+// asGone returns the state to publish of a target whose process does not exist. Its host holds no flows, so that no one
+// has to ask about them, until the target announces itself again.
+func asGone(t facts.Target) facts.Target {
+	t.State = facts.TargetGone
+	return t
 }
 
 // targetRefusesConnections connects to the address on which the target listens while it runs. A refusal shows that its
--- a/kernel/flow/liveness.go
+++ b/kernel/flow/liveness.go
@@ -73,6 +73,11 @@
 	out.record(Decision{Action: ActionTargetAbsent, Reason: "connectionRefused", PlanVersion: a.planVersion(), Count: ended})
 }
 
+// TargetIsAbsent reports whether the target's process was found not to exist and has not shown itself since.
+func (a *Agent) TargetIsAbsent() bool {
+	return a.liveness.absent
+}
+
 // noteTargetPresent records that the target has shown itself.
 func (a *Agent) noteTargetPresent() {
 	a.liveness.absent = false
