Searches ask the hosts of the data centre before all of the fleet

Change: after the eight likeliest, the first 32 hosts of the flow's order are asked, which include those of the data centre. Test: TestFlowsBeyondLikeliestHostsAreFoundAtOnce, failed first.

--- a/kernel/flow/search.go
+++ b/kernel/flow/search.go
@@ -27,6 +27,9 @@
 	downHostWindow = 10 * time.Second
 	// downHostRetries is how many times a host that is down is asked again before its silence counts as a denial.
 	downHostRetries = 2
+	// nearbyHosts is how many hosts a search asks before it asks all. In the order of a flow they include the hosts of the
+	// entry's data centre, of which the largest fleet has 28 a service.
+	nearbyHosts = 32
 	// maxQueuedPackets bounds the packets that one search queues. A caller or target has at most 16 in flight.
 	maxQueuedPackets = 16
 	// maxSearches bounds the concurrent searches. Together with maxQueuedPackets it bounds their memory.
@@ -119,11 +122,14 @@
 	return left, asked
 }
 
-// widen extends the scope first to the maxCandidates likeliest hosts, and then to all hosts.
+// widen extends the scope first to the maxCandidates likeliest hosts, then to nearbyHosts, and then to all hosts. While
+// hosts are busy, flows are placed beyond the likeliest hosts, but seldom in other data centres.
 func (s *search) widen() {
-	if likely := min(maxCandidates, len(s.group.hosts)); s.scope < likely {
-		s.scope = likely
-		return
+	for _, scope := range []int{maxCandidates, nearbyHosts} {
+		if s.scope < scope && scope < len(s.group.hosts) {
+			s.scope = scope
+			return
+		}
 	}
 	s.scope = len(s.group.hosts)
 }
--- a/kernel/flow/searchLoad_test.go
+++ b/kernel/flow/searchLoad_test.go
@@ -174,3 +174,34 @@
 	h.agent.UpdateTarget(started.Add(5*time.Second), restarted, true, &out)
 	require.Equal(t, answerDenied, h.agent.answerFor(flowOf(1)))
 }
+
+// Pattern: the rotation changes several times a second while entries return, and agents that had no target yet refused
+// flows, which were placed beyond the likeliest hosts. An entry on a thin link must find each of them without asking the
+// whole fleet, which its share of the link does not allow.
+func TestFlowsBeyondLikeliestHostsAreFoundAtOnce(t *testing.T) {
+	const hosts, dataCentres, flows = 160, 6, 8
+	tn := newTestNetwork(t, 2, hosts)
+	for i, h := range tn.hosts {
+		h.member.DataCentre = string(rune('a' + i%dataCentres))
+	}
+	for i, e := range tn.entries {
+		e.DataCentre, e.LinkMbps = "a", thinLinkMbps
+		tn.updateEntry(i)
+	}
+	tn.updateAgents()
+	e := tn.entries[0]
+	for n := range flows {
+		likeliest := e.directory.Group("s").rank(flowOf(n), "a", nil)[:maxCandidates]
+		for _, r := range likeliest {
+			e.hostLoadOf(r.host.Instance).refusedUntil = tn.now.Add(time.Millisecond)
+		}
+		h := tn.openFlow(0, n)
+		require.Equal(t, "a", h.member.DataCentre)
+		for _, r := range likeliest {
+			e.hostLoadOf(r.host.Instance).refusedUntil = time.Time{}
+		}
+		answered, reset := tn.sendRequest(1, n, h)
+		require.True(t, answered)
+		require.False(t, reset)
+	}
+}
