Agents that start without a target and without an object publish that, too

Their targets had gone before the power did, so they had no object, published no target, and counted as agents that have just started. Change: the check publishes an absent target also if none is known. Test: TestHostWithoutTargetProcessHoldsNoFlows.

--- a/agent/cmd/targetCheck.go
+++ b/agent/cmd/targetCheck.go
@@ -35,10 +35,12 @@
 	now := time.Now()
 	a.mutex.Lock()
 	a.step(now, func(out *flow.Output) { a.flowAgent.TargetAbsent(now, c.started, out) })
-	target, known := a.tracker.Target()
+	target, _ := a.tracker.Target()
 	absent := a.flowAgent.TargetIsAbsent()
 	a.mutex.Unlock()
-	if known && absent {
+	if absent {
+		// Without a known target, its zero value is published: entries would otherwise take a host without a target for one
+		// whose agent has just started.
 		a.publishTarget(asGone(target), "check", 0)
 	}
 }
--- a/kernel/control/registrar.go
+++ b/kernel/control/registrar.go
@@ -255,7 +255,7 @@
 		return true
 	}
 	if gone {
-		return r.deleted.Load() || r.delete(ctx, f)
+		return r.deleted.Load() || !r.objectExists || r.delete(ctx, f)
 	}
 	r.deleted.Store(false)
 	spec, err := json.Marshal(f)
--- a/kernel/flow/directory_test.go
+++ b/kernel/flow/directory_test.go
@@ -68,3 +68,12 @@
 		}
 	})
 }
+
+// Pattern: hosts left while a fleet lost power, and their agents started once more without a target, to be killed some
+// seconds later. Entries waited for their denials until they found them silent, and reset no flow meanwhile.
+func TestHostWithoutTargetProcessHoldsNoFlows(t *testing.T) {
+	m := facts.Member{Instance: "a", Role: facts.RoleAgent, Service: "s", Packets: address(1), State: facts.StateServing}
+	require.NotNil(t, NewDirectory([]facts.Member{m}).Group("s"), "the agent may have just started")
+	m.Target = &facts.Target{State: facts.TargetGone}
+	require.Nil(t, NewDirectory([]facts.Member{m}).Group("s"))
+}
