--- a/kernel/control/auditor.go
+++ b/kernel/control/auditor.go
@@ -152,9 +152,11 @@
 	a.health.observe(err)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	// enqueue may have dropped some of the records during the write.
 	if err == nil {
-		// enqueue may have dropped some of the written records during the write.
 		a.pending = a.pending[a.taken:]
+	} else {
+		a.dropped += len(records) - a.taken
 	}
 	a.taken = 0
 }
--- a/kernel/peer/gossip.go
+++ b/kernel/peer/gossip.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -13,7 +12,6 @@
 
 	"github.com/coltsfootline/coltsfootline/kernel/events"
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
-	"github.com/coltsfootline/coltsfootline/kernel/services"
 )
 
 // JSON-RPC methods served by Gossip.
@@ -43,13 +41,6 @@
 	ObserveVersion(version uint64, from netip.AddrPort)
 }
 
-// View is an immutable snapshot of the fact set.
-type View struct {
-	Digest   uint64
-	Members  []facts.Member
-	Services services.List
-}
-
 // Gossip replicates facts between instances by gossip and owns this instance's fact set. All access to the set runs on
 // one goroutine, the control goroutine. Set the exported fields before calling Start.
 type Gossip struct {
@@ -153,11 +144,6 @@
 	go g.loop(ctx)
 }
 
-// View returns the current view. It may be called from any goroutine.
-func (g *Gossip) View() *View {
-	return g.view.Load()
-}
-
 // Do runs f on the control goroutine and waits for it to return. It returns false if ctx is cancelled first. A panic of f
 // is logged, because f may handle what a peer sent.
 func (g *Gossip) Do(ctx context.Context, f func(now time.Time)) bool {
@@ -258,19 +244,6 @@
 	}
 }
 
-// publishIfDue publishes the view if it is outdated. It returns how long to wait if that is not due yet.
-func (g *Gossip) publishIfDue(now time.Time) time.Duration {
-	if !g.viewOutdated {
-		return 0
-	}
-	if wait := g.viewPace.wait(now); wait > 0 {
-		return wait
-	}
-	g.publishView(now)
-	g.viewPace.done(now, time.Now())
-	return 0
-}
-
 // tick starts an exchange with each peer.
 func (g *Gossip) tick(ctx context.Context, now time.Time) {
 	if g.DetectFailures {
@@ -340,61 +313,6 @@
 	}
 }
 
-// updateMembers decodes accepted member facts. The next publication of the view contains them.
-func (g *Gossip) updateMembers(accepted []facts.Fact) {
-	if g.members == nil {
-		g.members = make(map[string]facts.Member)
-	}
-	g.viewOutdated = true
-	for _, f := range accepted {
-		if f.Kind != facts.KindMember {
-			continue
-		}
-		m, err := facts.DecodeMember(f)
-		if err != nil {
-			events.FactRefused.Log(g.Logger, events.ErrorAttr(err))
-			continue
-		}
-		g.members[f.Name] = m
-	}
-}
-
-// publishView replaces the view by one of the current facts and calls OnChange.
-func (g *Gossip) publishView(now time.Time) {
-	g.viewOutdated = false
-	v := &View{Digest: g.set.Digest(), Members: make([]facts.Member, 0, len(g.members))}
-	for _, name := range slices.Sorted(maps.Keys(g.members)) {
-		v.Members = append(v.Members, g.members[name])
-	}
-	list, err := services.ListFromFacts(&g.set)
-	if err != nil {
-		events.FactRefused.Log(g.Logger, events.ErrorAttr(err))
-	}
-	v.Services = list
-	g.view.Store(v)
-	g.updateExpected(now, v.Members)
-	if g.OnChange != nil {
-		g.OnChange(now, v)
-	}
-}
-
-// updateExpected sets the members that the failure detector monitors: those that choose this instance as a peer.
-func (g *Gossip) updateExpected(now time.Time, members []facts.Member) {
-	if !g.DetectFailures {
-		return
-	}
-	g.expected = map[string]bool{}
-	candidates := indexCandidates(listCandidates(nil, members))
-	selfListed := candidates.contains(g.Self)
-	for _, m := range members {
-		inactive := m.State == facts.StateDown || m.State == facts.StateLeft
-		if !inactive && selfListed && m.Instance != g.Self.Instance && candidates.isChosen(g.Self, m) {
-			g.expected[m.Instance] = true
-		}
-	}
-	g.detector.SetExpected(g.expected, now)
-}
-
 // disseminate pushes accepted facts to up to pushFanOut random peers and to the agents that exchange with this entry.
 // Other instances receive the facts through exchanges.
 func (g *Gossip) disseminate(now time.Time, accepted []facts.Fact) {
