A target that restarts after its clock was set back is accepted once its earlier process is gone

Cause, by reading (clock_step): the tracker orders incarnations by the target's wall clock; one that starts with a clock set back by more than its predecessor's life counted as earlier for good. Change: after a refused connection, any start time is taken. Test: TestTargetThatStartedEarlierByClockIsAcceptedOnceTheLastOneIsAbsent.

--- a/agent/cmd/targetCheck.go
+++ b/agent/cmd/targetCheck.go
@@ -37,6 +37,9 @@
 	a.step(now, func(out *flow.Output) { a.flowAgent.TargetAbsent(now, c.started, out) })
 	target, _ := a.tracker.Target()
 	absent := a.flowAgent.TargetIsAbsent()
+	if absent {
+		a.tracker.SetAbsent()
+	}
 	a.mutex.Unlock()
 	if absent {
 		// Without a known target, its zero value is published: entries would otherwise take a host without a target for one
--- a/kernel/announce/tracker.go
+++ b/kernel/announce/tracker.go
@@ -25,6 +25,8 @@
 	target   facts.Target
 	sequence uint64
 	known    bool
+	// absent is set if the process of the known target was found not to exist.
+	absent bool
 }
 
 // Restore sets the state of the target from the store, unless a state is already known, and reports whether it did.
@@ -37,6 +39,12 @@
 	return true
 }
 
+// SetAbsent records that the process of the known target does not exist. The next one may have started earlier by the
+// wall clock, if that was set back in between.
+func (t *Tracker) SetAbsent() {
+	t.absent = true
+}
+
 // Apply processes an announcement. It returns the state of the target afterwards and the result.
 func (t *Tracker) Apply(a Announcement) (facts.Target, Result) {
 	if a.Target.State == facts.TargetGone {
@@ -46,7 +54,7 @@
 		return t.target, ResultOtherService
 	}
 	if t.known {
-		if a.Target.StartedMs < t.target.StartedMs {
+		if a.Target.StartedMs < t.target.StartedMs && !t.absent {
 			return t.target, ResultStale
 		}
 		if a.Target.SameIncarnation(t.target) && (a.Sequence < t.sequence || t.target.State == facts.TargetGone) {
@@ -54,7 +62,7 @@
 		}
 	}
 	unchanged := t.known && t.target == a.Target
-	t.target, t.sequence, t.known = a.Target, a.Sequence, true
+	t.target, t.sequence, t.known, t.absent = a.Target, a.Sequence, true, false
 	if unchanged {
 		return t.target, ResultUnchanged
 	}
--- a/kernel/announce/tracker_test.go
+++ b/kernel/announce/tracker_test.go
@@ -52,3 +52,16 @@
 	require.Equal(t, ResultChanged, result)
 	require.False(t, tracker.Restore(facts.Target{ID: "a", StartedMs: 10, State: facts.TargetReady}))
 }
+
+// A target that restarts after the clock of its machine was set back announces an earlier start than the one before it.
+// It was taken for an earlier incarnation for good, and its host got no new flows.
+func TestTargetThatStartedEarlierByClockIsAcceptedOnceTheLastOneIsAbsent(t *testing.T) {
+	tracker := Tracker{Service: "s"}
+	tracker.Apply(newAnnouncement("a", 2400, 5, facts.TargetReady))
+	_, result := tracker.Apply(newAnnouncement("a", 1000, 1, facts.TargetReady))
+	require.Equal(t, ResultStale, result)
+	tracker.SetAbsent()
+	target, result := tracker.Apply(newAnnouncement("a", 1000, 1, facts.TargetReady))
+	require.Equal(t, ResultChanged, result)
+	require.Equal(t, int64(1000), target.StartedMs)
+}
