--- a/coltsfootline/timeline/cause.go
+++ b/coltsfootline/timeline/cause.go
@@ -121,7 +121,13 @@
 	return Cause{Outcome: OutcomeLost, Text: "no agent saw a request on this flow"}
 }
 
+// reasonTargetAbsent is the reason of a reset by an agent whose target's process is gone.
+const reasonTargetAbsent = "targetAbsent"
+
 func (f *findings) resetText() string {
+	if f.reset.Reason == reasonTargetAbsent {
+		return fmt.Sprintf("%s reset the flow at %s, because its target's process was gone", f.reset.Instance, timeOfDay(f.reset))
+	}
 	text := fmt.Sprintf("%s reset the flow at %s (%s, %d hosts denied it)", f.reset.Instance, timeOfDay(f.reset), f.reset.Reason, f.reset.Count)
 	if f.forwarded != nil && f.restarted != nil {
 		text += fmt.Sprintf(": %s had the request at %s and started anew at %s", f.forwarded.Instance, timeOfDay(f.forwarded), timeOfDay(f.restarted))
--- a/coltsfootline/timeline/record.go
+++ b/coltsfootline/timeline/record.go
@@ -58,7 +58,8 @@
 		events.MemberSilent.Number, events.SelfRefuted.Number, events.RecordsLeftOut.Number,
 		events.DependencyLost.Number, events.DependencyRegained.Number, events.ReadyChanged.Number, events.Woke.Number,
 		events.PlanTaken.Number, events.PlanRefused.Number, events.FlowsProbed.Number, events.TargetChanged.Number,
-		events.AnnouncementRefused.Number, events.SettingsReloaded.Number:
+		events.AnnouncementRefused.Number, events.SettingsReloaded.Number, events.TargetAbsent.Number,
+		events.InputPanicked.Number, events.AddressTaken.Number, events.MemberRetired.Number:
 		return true
 	}
 	return false
--- a/coltsfootline/timeline/timeline_test.go
+++ b/coltsfootline/timeline/timeline_test.go
@@ -126,3 +126,14 @@
 	require.True(t, ok)
 	require.Equal(t, "r1", r.Request)
 }
+
+// A request whose target crashed is explained by the agent's reset, not by hosts that denied it.
+func TestResetOfAbsentTargetNamesTheCause(t *testing.T) {
+	timeline, ok := readLines(t,
+		forwarded(0),
+		line(200, "agent-1", events.FlowReset, flowAttribute+`,"reason":"targetAbsent","request":"r1"`),
+	).OfRequest("r1")
+	require.True(t, ok)
+	require.Equal(t, OutcomeReset, timeline.Cause.Outcome)
+	require.Contains(t, timeline.Cause.Text, "agent-1 reset the flow at 07:00:00.200, because its target's process was gone")
+}
