A host that is down gets the time to answer in each search

Cause, by reading the change: with silence remembered across searches, a host that was cut off for a moment and is still marked as down could be counted as denying a flow before the question of that search had reached it. Change: it is asked again at least once and has 50 ms to answer; hosts that are down are asked with each search. Test: TestDownHostThatWasSilentIsAskedAgain.

--- a/kernel/flow/ask.go
+++ b/kernel/flow/ask.go
@@ -174,8 +174,12 @@
 			continue
 		}
 		delete(e.questions, number)
-		if !q.asked.Before(q.host.askAfter) {
-			q.host.silent++
+		if q.asked.Before(q.host.askAfter) {
+			continue
+		}
+		q.host.silent++
+		if !q.host.isDown() {
+			// A host that is down is asked with each search, which waits for it only briefly.
 			q.host.askAfter = now.Add(locateRetryInterval << min(q.host.silent, maxSilentDoublings))
 		}
 	}
--- a/kernel/flow/search.go
+++ b/kernel/flow/search.go
@@ -30,6 +30,8 @@
 	// nearbyHosts is how many hosts a search asks before it asks all. In the order of a flow they include the hosts of the
 	// entry's data centre, of which the largest fleet has 28 a service.
 	nearbyHosts = 32
+	// downAnswerTime is how long a host that is down has to answer after it was last asked.
+	downAnswerTime = 50 * time.Millisecond
 	// maxQueuedPackets bounds the packets that one search queues. A caller or target has at most 16 in flight.
 	maxQueuedPackets = 16
 	// maxSearches bounds the concurrent searches. Together with maxQueuedPackets it bounds their memory.
@@ -107,11 +109,20 @@
 	return n
 }
 
-// unanswered returns how many hosts have not answered conclusively, and how many hosts in scope have not answered at all. Hosts that are down are not
-// counted after downHostRetries, of this search or of questions about other flows.
-func (s *search) unanswered() (left, asked int) {
+// countsAsDenied reports whether the silence of a host that is down counts as a denial. One that did not answer questions
+// about other flows either is asked again less often, but at least once: it may be reachable again.
+func (s *search) countsAsDenied(now time.Time, hl *hostLoad) bool {
+	retries := downHostRetries
+	if hl.silent >= downHostRetries {
+		retries = 1
+	}
+	return hl.isDown() && s.retries >= retries && now.Sub(s.lastRound) >= downAnswerTime
+}
+
+// unanswered returns how many hosts have not answered conclusively, and how many hosts in scope have not answered at all.
+func (s *search) unanswered(now time.Time) (left, asked int) {
 	for i, hl := range s.group.hosts {
-		if s.answers[i].isFinal() || hl.isDown() && max(s.retries, hl.silent) >= downHostRetries {
+		if s.answers[i].isFinal() || s.countsAsDenied(now, hl) {
 			continue
 		}
 		left++
@@ -254,7 +265,7 @@
 // ContinueSearches does so after a timeout.
 func (e *Entry) advanceSearch(now time.Time, f gue.Flow, ef *entryFlow, out *Output) {
 	s := ef.search
-	left, asked := s.unanswered()
+	left, asked := s.unanswered(now)
 	switch {
 	case s.countAnswers(answerMaybe) > 0 && (left == 0 || now.Sub(s.started) > 2*locateRetryInterval):
 		e.acceptPossibleHolders(now, f, ef, out)
--- a/kernel/flow/search_test.go
+++ b/kernel/flow/search_test.go
@@ -107,6 +107,31 @@
 	require.True(t, tn.toCaller[len(tn.toCaller)-1].RST)
 }
 
+// A host that was cut off, and did not answer questions meanwhile, is reachable again but still marked as down. A search
+// must give it the time to confirm a flow that it holds.
+func TestDownHostThatWasSilentIsAskedAgain(t *testing.T) {
+	tn := newTestNetwork(t, 2, 5)
+	h := tn.openFlow(0, 1)
+	h.member.State = facts.StateDown
+	tn.updateEntry(0)
+	tn.updateEntry(1)
+	tn.updateAgents()
+	tn.advance(groupSettleTime)
+	tn.entries[1].hostLoadOf(h.member.Instance).silent = 5
+	lost := false
+	tn.dropPacket = func(to netip.AddrPort, _ Header) bool {
+		drop := to == h.member.Packets && !lost
+		lost = lost || drop
+		return drop
+	}
+	_, reset := tn.sendRequest(1, 1, h)
+	require.False(t, reset)
+	tn.advance(locateRetryInterval)
+	tn.advance(locateRetryInterval)
+	require.Empty(t, tn.decisionReasons(ActionReset))
+	require.Len(t, tn.decisionReasons(ActionFound), 1)
+}
+
 func TestDenialsAreInconclusiveRightAfterDirectoryChange(t *testing.T) {
 	tn := newTestNetwork(t, 2, 3)
 	h := tn.openFlow(0, 1)
