A search step that stops early asks the hosts that it has collected

Cause, by reading the change: askDue returned after 256 packets without sending the questions that it had collected, whose searches no longer counted as due; they were asked with the next retry only. Test: TestStepThatStopsEarlyLosesNoQuestion, failed first.

--- a/kernel/flow/ask.go
+++ b/kernel/flow/ask.go
@@ -52,7 +52,8 @@
 			continue
 		}
 		if len(out.Packets) >= maxPacketsPerStep {
-			return true
+			more = true
+			break
 		}
 		s.due = false
 		for i, hl := range s.group.hosts[:s.scope] {
@@ -75,7 +76,7 @@
 			flows = flows[n:]
 		}
 	}
-	return false
+	return more
 }
 
 // markDue makes the searches for the flows ask again with the next call of ContinueSearches.
--- a/kernel/flow/searchLoad_test.go
+++ b/kernel/flow/searchLoad_test.go
@@ -237,3 +237,30 @@
 	require.Len(t, tn.decisionReasons(ActionFound), len(holders))
 	require.Len(t, tn.toCaller, before+len(holders))
 }
+
+// A step that stops early must have asked all hosts of the searches that it no longer counts as due.
+func TestStepThatStopsEarlyLosesNoQuestion(t *testing.T) {
+	const hosts, flows = 3, 2 * maxPacketsPerStep
+	tn := newSearchLoad(t, false)
+	e := tn.entries[0]
+	e.LinkMbps = 1000
+	tn.hosts = tn.hosts[:hosts]
+	tn.updateEntry(0)
+	for n := range flows {
+		tn.sendUnknownPacket(0, n)
+		s := e.searches[flowOf(n)].search
+		s.answers[0], s.due = answerUnsure, true
+	}
+	e.questions = nil
+	var out Output
+	steps := 1
+	for ; e.ContinueSearches(tn.now, false, &out); steps++ {
+		out.Clear()
+	}
+	require.Greater(t, steps, 1)
+	asked := 0
+	for _, q := range e.questions {
+		asked += len(q.flows)
+	}
+	require.Equal(t, flows*(hosts-1), asked)
+}
