--- a/kernel/control/collect.go
+++ b/kernel/control/collect.go
@@ -37,8 +37,8 @@
 }
 
 // CollectStale removes the store objects of members that have been down for DownRetention, or whose address another
-// member holds, and returns the names of these members. It does nothing unless this instance is the first serving entry. A member that returns writes its
-// object again.
+// member holds, and returns the names of these members. It does nothing unless this instance is the first serving entry.
+// A member that returns writes its object again.
 func (r *Registrar) CollectStale(ctx context.Context, now time.Time) []string {
 	members := r.Gossip.View().Members
 	if r.Gossip.Self.Role != facts.RoleEntry || !isFirstServingEntry(r.Gossip.Self, members) {
--- a/kernel/control/registrar.go
+++ b/kernel/control/registrar.go
@@ -137,6 +137,11 @@
 	return true
 }
 
+// useSeeds makes the instance turn to the seeds at once, because the store does not tell it of other peers.
+func (r *Registrar) useSeeds(ctx context.Context) {
+	r.Gossip.Do(ctx, func(time.Time) { r.Gossip.SeedDelay = 0 })
+}
+
 // readSelf reads this instance's object. It reports whether the call succeeded, also if there is no object.
 func (r *Registrar) readSelf(ctx context.Context) bool {
 	o, err := r.Store.Get(ctx, KindInstances, r.Gossip.Self.Instance)
@@ -147,7 +152,7 @@
 	}
 	r.health.observe(err)
 	if err != nil {
-		r.Gossip.Do(ctx, func(time.Time) { r.Gossip.SeedDelay = 0 })
+		r.useSeeds(ctx)
 		return false
 	}
 	f, ok := decodeFact(o)
@@ -165,7 +170,7 @@
 	page, err := r.Store.List(ctx, KindInstances, r.Gossip.Self.Role == facts.RoleAgent)
 	r.health.observe(err)
 	if err != nil {
-		r.Gossip.Do(ctx, func(time.Time) { r.Gossip.SeedDelay = 0 })
+		r.useSeeds(ctx)
 		return false
 	}
 	var all []facts.Fact
--- a/kernel/peer/gossip.go
+++ b/kernel/peer/gossip.go
@@ -175,12 +175,7 @@
 // Leave publishes that this instance has left, and waits until the links had time to send that.
 func (g *Gossip) Leave(ctx context.Context) {
 	g.Do(ctx, func(now time.Time) { g.SetState(now, facts.StateLeft) })
-	t := time.NewTimer(2 * flushInterval)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	sleep(ctx, 2*flushInterval)
 }
 
 // SetSeeds replaces the seeds. It must be called on the control goroutine.
--- a/kernel/peer/link.go
+++ b/kernel/peer/link.go
@@ -63,13 +63,13 @@
 		case <-l.wake:
 			l.flush(ctx)
 		}
-		l.pause(ctx)
+		sleep(ctx, flushInterval)
 	}
 }
 
-// pause waits for flushInterval.
-func (l *link) pause(ctx context.Context) {
-	t := time.NewTimer(flushInterval)
+// sleep waits for d, or until ctx is cancelled.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
