A flow of an earlier plan's service is not reset: route history

Cause: a search asked only the services of the plan in force. A new plan leaves open flows where they are, so all hosts asked denied a flow that a host of an earlier plan's service held, and the entry reset it.

Change: each plan has a history of the services that earlier plans gave to its routes (kernel/plan). Watches extend it, plan.get carries it, a gap begins it anew. Searches ask the services of the plan in force, then the earlier ones, then all others; the last must deny the flow, too, unless the history reaches back to the oldest flow. For 500 ms they count in any case, because a newer plan may be on its way. Denials are kept by service when the membership changes. New setting flowLifetime of entries. onPlan of the entry ignores a plan that is older than the one in use.

The harness of package flow starts an agent with its member's service in place of the fixed one; no existing test changed.

--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -79,7 +79,7 @@
 		process: &process.Process{
 			Admin: s.Admin, Pprof: s.Pprof, Logger: logger, Readiness: s.Readiness, ReadinessPath: s.ReadinessPath,
 		},
-		flowEntry: &flow.Entry{Self: s.Packets, DataCentre: s.DataCentre, Codec: components.Codec, Policy: policy, LinkMbps: s.LinkMbps},
+		flowEntry: &flow.Entry{Self: s.Packets, DataCentre: s.DataCentre, Codec: components.Codec, Policy: policy, LinkMbps: s.LinkMbps, FlowLifetime: s.FlowLifetime},
 		recorder:  dataplane.NewRecorder(logger, metrics.GetDefaultSet()),
 		tasks:     dataplane.NewTaskQueue(),
 	}
@@ -173,6 +173,7 @@
 
 // applyUpdates passes the latest directory and plan to the flow entry if either has changed.
 func (e *passthroughEntry) applyUpdates(now time.Time) {
+	e.flowEntry.NewestPlan = e.node.Plans.NewestVersion()
 	latest := snapshot{directory: e.directory.Load(), plan: e.plan.Load()}
 	if latest == e.current {
 		return
@@ -210,9 +211,18 @@
 	e.addressHolders = current
 }
 
-// onPlan replaces the plan.
+// onPlan replaces the plan unless the new one is older than the current one. Two goroutines may call it, in any order of
+// versions.
 func (e *passthroughEntry) onPlan(p *plan.Plan) {
-	e.plan.Store(p)
+	for {
+		current := e.plan.Load()
+		if current != nil && current.Version > p.Version {
+			return
+		}
+		if e.plan.CompareAndSwap(current, p) {
+			break
+		}
+	}
 	e.updateReady()
 }
 
--- a/entry/cmd/settings.go
+++ b/entry/cmd/settings.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"strings"
+	"time"
 
 	"github.com/coltsfootline/coltsfootline/kernel/events"
 	"github.com/coltsfootline/coltsfootline/kernel/flow"
@@ -41,6 +42,9 @@
 	// LinkMbps is the capacity of the network link in Mbit/s. Searches use a part of it. 0 means that it is unknown. It is
 	// used only with a Form.
 	LinkMbps float64 `yaml:"linkMbps"`
+	// FlowLifetime is the maximum age of a flow. A flow is reset only if the hosts of all services that a plan gave its
+	// route within that time deny it. 0 means a default. It is used only with a Form.
+	FlowLifetime time.Duration `yaml:"flowLifetime"`
 }
 
 // Validate returns all violations in the settings.
@@ -67,6 +71,7 @@
 		v.RequireRegistered(flow.Codecs.Names(), s.Form, "form")
 		v.RequireRegistered(placement.FlowPolicies.Names(), s.Policy, "policy")
 		v.Require(s.LinkMbps >= 0, "linkMbps", "a number that is not negative")
+		v.Require(s.FlowLifetime >= 0, "flowLifetime", "a duration of 0s or more; 0s means 60s")
 		return v
 	}
 	v.Require(s.HashKey != gue.Key{}, "hashKey", "32 hexadecimal digits, not all zero")
--- /dev/null
+++ b/kernel/control/planHistory_test.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
+	"github.com/coltsfootline/coltsfootline/kernel/plan"
+	"github.com/coltsfootline/coltsfootline/kernel/store"
+)
+
+// jsonFormat decodes plans from their own JSON encoding.
+type jsonFormat struct{}
+
+func (jsonFormat) Location() (kind, name string) { return "config", "main" }
+
+func (jsonFormat) Decode(spec []byte) (*plan.Plan, error) {
+	p := &plan.Plan{}
+	err := json.Unmarshal(spec, p)
+	p.Index()
+	return p, err
+}
+
+func newPlans(applied *[]uint64) *Plans {
+	p := &Plans{
+		Format: jsonFormat{}, Logger: slog.New(slog.DiscardHandler),
+		OnPlan: func(p *plan.Plan) { *applied = append(*applied, p.Version) },
+	}
+	p.prepare()
+	return p
+}
+
+// planObject returns the store object of a plan that gives one service to the zero address.
+func planObject(t *testing.T, version uint64, service string) store.Object {
+	spec, err := json.Marshal(plan.Plan{Version: version, Routes: []plan.Route{{Shares: []plan.Share{{Service: service}}}}})
+	require.NoError(t, err)
+	return store.Object{Kind: "config", Name: "main", Revision: version, Spec: spec}
+}
+
+// Guards against a history without the plans that came in quick succession, and against one that hides a gap: after a
+// listing, and after a plan that could not be decoded.
+func TestHistoryFollowsTheStore(t *testing.T) {
+	var applied []uint64
+	p := newPlans(&applied)
+	p.applyObjects([]store.Object{planObject(t, 1, "a")}, "store", true)
+	since := p.Current().History.Since
+	p.applyObjects([]store.Object{planObject(t, 2, "b"), planObject(t, 3, "c"), planObject(t, 4, "d")}, "store", false)
+	require.Equal(t, []uint64{1, 4}, applied)
+	h := p.Current().History
+	require.Equal(t, since, h.Since)
+	require.ElementsMatch(t, []string{"a", "b", "c"}, h.EarlierServices(time.Now(), 0, gue.Endpoint{}))
+	p.applyObjects([]store.Object{planObject(t, 4, "d")}, "store", true)
+	require.Equal(t, since, p.Current().History.Since, "no plan is missing")
+	p.applyObjects([]store.Object{planObject(t, 6, "a")}, "store", true)
+	require.Equal(t, uint64(6), p.Current().History.OldestVersion)
+	broken := planObject(t, 7, "a")
+	broken.Spec = []byte("{")
+	p.applyObjects([]store.Object{broken, planObject(t, 8, "a")}, "store", false)
+	require.Equal(t, uint64(8), p.Current().History.OldestVersion)
+	require.ElementsMatch(t, []string{"b", "c", "d"}, p.Current().History.EarlierServices(time.Now(), 0, gue.Endpoint{}))
+}
+
+// Guards against a reply without the history, and against an instance that takes its plan for the newest although a peer
+// has reported a newer one.
+func TestPlanReplyCarriesTheHistory(t *testing.T) {
+	var applied []uint64
+	p := newPlans(&applied)
+	p.applyObjects([]store.Object{planObject(t, 1, "a"), planObject(t, 2, "b")}, "store", true)
+	result, err := p.Handlers()[MethodPlan](context.Background(), json.RawMessage("{}"))
+	require.NoError(t, err)
+	reply, ok := result.(PlanReply)
+	require.True(t, ok)
+	require.Equal(t, uint64(1), reply.History.OldestVersion)
+	require.Len(t, reply.History.Earlier, 1)
+	require.Equal(t, uint64(2), p.NewestVersion())
+	p.ObserveVersion(5, netip.AddrPort{})
+	p.ObserveVersion(4, netip.AddrPort{})
+	require.Equal(t, uint64(5), p.NewestVersion())
+}
--- a/kernel/control/plans.go
+++ b/kernel/control/plans.go
@@ -34,9 +34,11 @@
 // PlanRequest asks an instance for the plan in use.
 type PlanRequest struct{}
 
-// PlanReply carries the plan in use. Version 0 means that there is none.
+// PlanReply carries the plan in use and its history. Version 0 means that there is none. An instance of an older build
+// sends no history.
 type PlanReply struct {
-	Plan plan.Plan `json:"plan"`
+	Plan    plan.Plan           `json:"plan"`
+	History *plan.HistoryRecord `json:"history,omitempty"`
 }
 
 // Plans keeps the plan up to date. It watches the store, and fetches a newer plan from the peer that reports one, or
@@ -52,6 +54,8 @@
 	ShouldWatch func(now time.Time) bool
 
 	current atomic.Pointer[plan.Plan]
+	// newest is the highest version that was reported or applied.
+	newest  atomic.Uint64
 	reports chan versionReport
 	health  dependencyHealth
 }
@@ -87,11 +91,18 @@
 	return 0
 }
 
+// NewestVersion returns the highest version that a peer has reported or that is in use.
+func (p *Plans) NewestVersion() uint64 {
+	return max(p.newest.Load(), p.Version())
+}
+
 // ObserveVersion records the plan version that a peer uses and triggers a fetch if it is newer. It does not block.
 func (p *Plans) ObserveVersion(version uint64, from netip.AddrPort) {
 	if version <= p.Version() {
 		return
 	}
+	for newest := p.newest.Load(); version > newest && !p.newest.CompareAndSwap(newest, version); newest = p.newest.Load() {
+	}
 	select {
 	case p.reports <- versionReport{version: version, from: from}:
 	default:
@@ -102,7 +113,7 @@
 func (p *Plans) Handlers() map[string]peer.Handler {
 	return map[string]peer.Handler{MethodPlan: peer.Handle(func(context.Context, PlanRequest) (PlanReply, error) {
 		if c := p.current.Load(); c != nil {
-			return PlanReply{Plan: *c}, nil
+			return PlanReply{Plan: *c, History: c.History.Record(time.Now())}, nil
 		}
 		return PlanReply{}, nil
 	})}
@@ -148,36 +159,74 @@
 	if err != nil {
 		return 0, err
 	}
-	p.applyLatest(page.Objects, "store")
+	p.applyObjects(page.Objects, "store", revision == 0)
 	if revision != 0 && len(page.Objects) > 0 {
 		sleep(ctx, watchCoalesceDelay)
 	}
 	return page.Revision, nil
 }
 
-// applyLatest applies the plan from the last of the given objects that holds it.
-func (p *Plans) applyLatest(objects []store.Object, source string) {
+// applyObjects applies the latest plan among the given objects, whose order is that of their revisions. The earlier ones
+// become part of its history. gap is set if plans before these objects may be missing.
+func (p *Plans) applyObjects(objects []store.Object, source string, gap bool) {
 	_, name := p.Format.Location()
-	for i := len(objects) - 1; i >= 0; i-- {
-		o := objects[i]
+	var plans []sequentialPlan
+	for _, o := range objects {
 		if o.Name != name || o.Deleted {
 			continue
 		}
 		decoded, err := p.Format.Decode(o.Spec)
 		if err != nil {
 			events.PlanRefused.Log(p.Logger, slog.Uint64("revision", o.Revision), events.ErrorAttr(err))
-			return
+			// An instance of another build may use this plan.
+			gap = true
+			continue
 		}
-		p.apply(decoded, source, o.Revision)
+		plans = append(plans, sequentialPlan{plan: decoded, revision: o.Revision, afterGap: gap})
+		gap = false
+	}
+	if len(plans) == 0 {
 		return
 	}
+	now := time.Now()
+	p.apply(now, source, plans[len(plans)-1].revision, func(current *plan.Plan) *plan.Plan {
+		return latestOf(now, current, plans)
+	})
+}
+
+// sequentialPlan is a plan read from the store. Plans between it and the previous one may be missing if afterGap is set.
+type sequentialPlan struct {
+	plan     *plan.Plan
+	revision uint64
+	afterGap bool
 }
 
-// apply puts a plan in force if it is newer than the one in use. The source is only logged.
-func (p *Plans) apply(next *plan.Plan, source string, revision uint64) {
+// latestOf returns the plan that is in force after the given ones have replaced current one after the other. Its history
+// contains all of them.
+func latestOf(now time.Time, current *plan.Plan, plans []sequentialPlan) *plan.Plan {
+	for _, s := range plans {
+		if isNewer(s.plan, current) {
+			next := *s.plan
+			next.History = plan.Succeed(now, current, &next, s.afterGap)
+			current = &next
+		}
+	}
+	return current
+}
+
+// isNewer reports whether a plan replaces current, which may be nil.
+func isNewer(next, current *plan.Plan) bool {
+	return next.Version != 0 && (current == nil || next.Version > current.Version)
+}
+
+// apply puts the plan in force that advance returns for the one in use, which may be nil, if it is newer. The source and
+// the revision are only logged.
+func (p *Plans) apply(now time.Time, source string, revision uint64, advance func(current *plan.Plan) *plan.Plan) {
+	var current, next *plan.Plan
 	for {
-		current := p.current.Load()
-		if next.Version == 0 || current != nil && next.Version <= current.Version {
+		current = p.current.Load()
+		next = advance(current)
+		if next == nil || !isNewer(next, current) {
 			return
 		}
 		if p.current.CompareAndSwap(current, next) {
@@ -186,9 +235,21 @@
 	}
 	events.PlanTaken.Log(p.Logger, slog.Uint64("planVersion", next.Version), slog.String("source", source),
 		slog.Uint64("revision", revision), slog.Int("routes", len(next.Routes)))
+	if current == nil || current.History != nil && next.History.Since.After(current.History.Since) {
+		events.PlanHistoryShort.Log(p.Logger, slog.Uint64("planVersion", next.Version), slog.String("source", source),
+			slog.Int64("ageMs", now.Sub(next.History.Since).Milliseconds()))
+	}
 	p.OnPlan(next)
 }
 
+// historySeconds returns how far back the history of the plan in use reaches, for the metrics.
+func (p *Plans) historySeconds() float64 {
+	if c := p.current.Load(); c != nil && c.History != nil {
+		return time.Since(c.History.Since).Seconds()
+	}
+	return 0
+}
+
 // fetchLoop fetches the newer plans that peers report until ctx is cancelled.
 func (p *Plans) fetchLoop(ctx context.Context) {
 	for {
@@ -216,7 +277,7 @@
 		events.StoreUnavailable.Log(p.Logger, events.ErrorAttr(err), slog.Uint64("planVersion", r.version))
 		return
 	}
-	p.applyLatest([]store.Object{object}, "storeAfterPeer")
+	p.applyObjects([]store.Object{object}, "storeAfterPeer", true)
 }
 
 // fetchFromPeer reads and applies the peer's plan. It reports whether the plan in use is now at least as new as the
@@ -230,6 +291,12 @@
 		return false
 	}
 	reply.Plan.Index()
-	p.apply(&reply.Plan, r.from.String(), 0)
+	now := time.Now()
+	history := reply.History.History(now)
+	p.apply(now, r.from.String(), 0, func(current *plan.Plan) *plan.Plan {
+		next := reply.Plan
+		next.History = plan.SucceedFromPeer(now, current, &next, history)
+		return &next
+	})
 	return p.Version() >= r.version
 }
--- a/kernel/flow/ask.go
+++ b/kernel/flow/ask.go
@@ -36,8 +36,20 @@
 			asked++
 		}
 	}
+	e.recordSearch(now, f, s, asked, out)
+}
+
+// recordSearch records that the search asked some hosts, or has more hosts to ask with the next call of ContinueSearches.
+func (e *Entry) recordSearch(now time.Time, f gue.Flow, s *search, asked int, out *Output) {
+	reason := ""
+	switch {
+	case s.scope > s.group.known:
+		reason = "allServices"
+	case s.scope > s.group.inForce:
+		reason = "earlierServices"
+	}
 	out.record(Decision{
-		Action: ActionSearched, Flow: f, PlanVersion: e.plan.Version, Count: asked, AgeMs: now.Sub(s.started).Milliseconds(),
+		Action: ActionSearched, Flow: f, Reason: reason, PlanVersion: e.plan.Version, Count: asked, AgeMs: now.Sub(s.started).Milliseconds(),
 	})
 }
 
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -48,13 +48,19 @@
 	Policy     placement.FlowPolicy
 	// LinkMbps is the capacity of the entry's network link in Mbit/s. 0 means defaultLinkMbps.
 	LinkMbps float64
+	// FlowLifetime is the maximum age of a flow. 0 means defaultFlowLifetime.
+	FlowLifetime time.Duration
+	// NewestPlan is the highest version of a plan that any instance has reported. The history of an older plan is
+	// incomplete. It may be set at any time between calls.
+	NewestPlan uint64
 
 	plan      *plan.Plan
 	directory *Directory
-	// directoryChanged is when the directory last changed. groupChangeTimes holds when each group last changed, by the
-	// digest that routeDigest returns for a route to that group alone.
+	// services holds the result of allServices, or nil after the plan or the directory changed.
+	services []string
+	// directoryChanged is when the directory last changed. groupChanges holds the last change of each service's hosts.
 	directoryChanged time.Time
-	groupChangeTimes map[uint64]time.Time
+	groupChanges     map[string]groupChange
 	// searches holds the flows whose holder is being searched for.
 	searches map[gue.Flow]*entryFlow
 	// questions holds the questions that were not answered yet, by number. budget limits what searches send.
@@ -111,7 +117,7 @@
 	stageClosing
 )
 
-// Update replaces the plan and the directory. A plan that is older than the current one is ignored.
+// Update replaces the plan, with its history, and the directory. A plan that is older than the current one is ignored.
 func (e *Entry) Update(now time.Time, p *plan.Plan, d *Directory) {
 	if e.flows == nil {
 		e.flows, _ = simplelru.NewLRU[gue.Flow, *entryFlow](maxFlows, e.onEvict)
@@ -119,14 +125,14 @@
 		e.searches = make(map[gue.Flow]*entryFlow)
 	}
 	if p != nil && (e.plan == nil || p.Version >= e.plan.Version) {
-		e.plan = p
+		e.plan, e.services = p, nil
 	}
 	if d == nil || d == e.directory {
 		return
 	}
-	e.directory = d
+	e.directory, e.services = d, nil
 	e.directoryChanged = now
-	e.updateGroupChangeTimes(now)
+	e.updateGroupChanges(now)
 	for _, h := range d.byAddress {
 		hl := e.hostLoadOf(h.Instance)
 		if hl.host != nil && !hl.host.Target.SameIncarnation(h.Target) {
@@ -147,22 +153,6 @@
 	}
 }
 
-// updateGroupChangeTimes records when each service's group last changed.
-func (e *Entry) updateGroupChangeTimes(now time.Time) {
-	previous := e.groupChangeTimes
-	e.groupChangeTimes = make(map[uint64]time.Time, len(e.directory.byService))
-	for _, g := range e.directory.byService {
-		// This is the digest that routeDigest computes for a route with one group. Most routes have one group; searches
-		// on other routes use directoryChanged.
-		key := fmix64(g.Digest)
-		at, known := previous[key]
-		if !known {
-			at = now
-		}
-		e.groupChangeTimes[key] = at
-	}
-}
-
 // HandlePacket handles a packet received from the given address.
 func (e *Entry) HandlePacket(now time.Time, from netip.AddrPort, packet []byte, out *Output) {
 	hdr, reason := e.Codec.Parse(packet)
--- a/kernel/flow/network_test.go
+++ b/kernel/flow/network_test.go
@@ -99,7 +99,7 @@
 }
 
 func (tn *testNetwork) startAgent(h *testHost) {
-	h.agent = &Agent{Self: h.member.Packets, Service: "s", Target: targetAddress(h), Codec: testCodec{}}
+	h.agent = &Agent{Self: h.member.Packets, Service: h.member.Service, Target: targetAddress(h), Codec: testCodec{}}
 	h.agent.SetPlan(tn.plan)
 	var out Output
 	h.agent.UpdateTarget(tn.now, *h.member.Target, true, &out)
--- a/kernel/flow/search.go
+++ b/kernel/flow/search.go
@@ -124,9 +124,17 @@
 	return hl.isDown() && s.retries >= retries && now.Sub(s.lastRound) >= downAnswerTime
 }
 
-// unanswered returns how many hosts have not answered conclusively, and how many hosts in scope have not answered at all.
+// unanswered returns how many of the hosts that must answer have not done so conclusively, and how many of those in scope
+// have not answered at all. Other services that are not in the group yet count as one host.
 func (s *search) unanswered(now time.Time) (left, asked int) {
-	for i, hl := range s.group.hosts {
+	hosts := s.group.hosts
+	switch {
+	case !s.mustAskOthers(now):
+		hosts = hosts[:s.group.known]
+	case s.group.others != othersAdded:
+		left++
+	}
+	for i, hl := range hosts {
 		if s.answers[i].isFinal() || s.countsAsDenied(now, hl) {
 			continue
 		}
@@ -138,57 +146,6 @@
 	return left, asked
 }
 
-// widen extends the scope first to the maxCandidates likeliest hosts, then to nearbyHosts, and then to all hosts. While
-// hosts are busy, flows are placed beyond the likeliest hosts, but seldom in other data centres.
-func (s *search) widen() {
-	for _, scope := range []int{maxCandidates, nearbyHosts} {
-		if s.scope < scope && scope < len(s.group.hosts) {
-			s.scope = scope
-			return
-		}
-	}
-	s.scope = len(s.group.hosts)
-}
-
-// searchGroup is the set of hosts that may hold a flow of a route, according to one directory.
-type searchGroup struct {
-	directory *Directory
-	// digest is the result of routeDigest.
-	digest uint64
-	// hosts holds the hosts of each service in the order of Group.rank. A flow is usually on one of the first hosts of its
-	// service.
-	hosts []*hostLoad
-}
-
-// searchGroupFor returns all hosts of the route except those that have been down for longer than downHostWindow.
-func (e *Entry) searchGroupFor(now time.Time, f gue.Flow, route *plan.Route) searchGroup {
-	g := searchGroup{directory: e.directory, digest: e.routeDigest(route)}
-	for _, s := range route.Shares {
-		serviceGroup := e.directory.Group(s.Service)
-		if serviceGroup == nil {
-			continue
-		}
-		e.rankBuffer = serviceGroup.rank(f, e.DataCentre, e.rankBuffer)
-		for _, r := range e.rankBuffer {
-			if hl := e.hostLoadOf(r.host.Instance); !r.host.Down || now.Sub(hl.downSince) < downHostWindow {
-				g.hosts = append(g.hosts, hl)
-			}
-		}
-	}
-	return g
-}
-
-// routeDigest combines the digests of the groups of a route's services.
-func (e *Entry) routeDigest(route *plan.Route) uint64 {
-	var digest uint64
-	for _, s := range route.Shares {
-		if g := e.directory.Group(s.Service); g != nil {
-			digest = fmix64(digest ^ g.Digest)
-		}
-	}
-	return digest
-}
-
 // startSearch queues a packet and starts a search for the holder of its flow among the hosts of the route. denied, if
 // not nil, is a host that is known not to hold the flow.
 func (e *Entry) startSearch(now time.Time, f gue.Flow, route *plan.Route, ef *entryFlow, packet []byte, hdr *Header, out *Output, denied *hostLoad) {
@@ -205,7 +162,7 @@
 	}
 	ef.search = s
 	e.searches[f] = ef
-	s.widen()
+	e.widen(now, f, s)
 	e.ask(now, f, s, out)
 }
 
@@ -246,26 +203,6 @@
 	e.advanceSearch(now, f, ef, out)
 }
 
-// refreshSearch updates a search after the directory changed. If the set of hosts differs, it discards the answers and
-// asks all hosts again, because denials by earlier incarnations or by fewer hosts are not conclusive.
-func (e *Entry) refreshSearch(now time.Time, f gue.Flow, route *plan.Route, ef *entryFlow) {
-	s := ef.search
-	if s.group.directory == e.directory {
-		return
-	}
-	previous, answers := s.group, s.answers
-	s.group = e.searchGroupFor(now, f, route)
-	s.answers = make([]answer, len(s.group.hosts))
-	if s.group.digest != previous.digest {
-		s.scope, s.due = len(s.group.hosts), true
-		return
-	}
-	s.scope = min(s.scope, len(s.group.hosts))
-	for i, hl := range previous.hosts {
-		s.recordAnswer(hl, answers[i])
-	}
-}
-
 // advanceSearch ends or widens a search, depending on the answers. It does not ask the same hosts again;
 // ContinueSearches does so after a timeout.
 func (e *Entry) advanceSearch(now time.Time, f gue.Flow, ef *entryFlow, out *Output) {
@@ -274,24 +211,21 @@
 	switch {
 	case s.countAnswers(answerMaybe) > 0 && (left <= s.countAnswers(answerElsewhere) || now.Sub(s.started) > 2*locateRetryInterval):
 		e.acceptPossibleHolders(now, f, ef, out)
-	case left == 0 && len(s.group.hosts) > 0 && now.Sub(e.groupChangedAt(s.group.digest)) >= groupSettleTime:
+	case left == 0 && s.group.inForce > 0 && now.Sub(s.group.changed) >= groupSettleTime:
 		e.resetUnheldFlow(now, f, ef, out)
 	case now.Sub(s.started) > searchTimeout:
 		e.abandonSearch(now, f, ef, left, out)
-	case left > 0 && asked == 0 && s.scope < len(s.group.hosts):
-		s.widen()
+	case left > 0 && asked == 0 && s.canWiden():
+		e.widen(now, f, s)
+		if s.scope > s.group.known && len(e.searches) > maxSingleQuestions {
+			s.due = true
+			e.recordSearch(now, f, s, 0, out)
+			return
+		}
 		e.ask(now, f, s, out)
 	}
 }
 
-// groupChangedAt returns when the hosts of the route with the given digest last changed.
-func (e *Entry) groupChangedAt(digest uint64) time.Time {
-	if at, known := e.groupChangeTimes[digest]; known {
-		return at
-	}
-	return e.directoryChanged
-}
-
 // ContinueSearches applies timeouts and directory changes to the active searches, and asks the hosts that are due. It
 // returns true if it stopped early because of maxPacketsPerStep; call it again then. Set behind if the entry has not read
 // all packets that it received. It then asks no host, because the answers may be among the unread packets.
@@ -305,7 +239,7 @@
 		e.refreshSearch(now, f, route, ef)
 		e.advanceSearch(now, f, ef, out)
 		if s := ef.search; s != nil && !behind && now.Sub(s.lastRound) >= locateRetryInterval<<min(s.retries, maxRetryDoublings) {
-			s.retry(now)
+			e.retry(now, f, s)
 		}
 	}
 	if behind {
@@ -315,10 +249,14 @@
 	return e.askDue(now, out)
 }
 
-// retry makes the search ask all hosts again that have not answered.
-func (s *search) retry(now time.Time) {
+// retry makes the search ask all hosts again that have not answered. If it does not know all services that may hold the
+// flow, it asks the hosts of the other ones from the second time on.
+func (e *Entry) retry(now time.Time, f gue.Flow, s *search) {
 	s.retries++
-	s.scope, s.due, s.lastRound = len(s.group.hosts), true, now
+	s.scope, s.due, s.lastRound = max(s.scope, s.group.known), true, now
+	if s.retries > 1 && !s.group.complete {
+		e.widenToOthers(now, f, s)
+	}
 	for i, a := range s.answers {
 		if a == answerPending || a == answerUnsure {
 			s.answers[i] = answerNone
--- /dev/null
+++ b/kernel/flow/searchGroup.go
@@ -0,0 +1,254 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
+	"github.com/coltsfootline/coltsfootline/kernel/plan"
+)
+
+const (
+	// defaultFlowLifetime is assumed if Entry.FlowLifetime is not set.
+	defaultFlowLifetime = 60 * time.Second
+	// planSettleTime is how long after its start a search also waits for the hosts of services that the history does not
+	// name. A newer plan, under which another entry placed the flow, is known by then: its version arrives with the next
+	// exchange with a peer, which takes place every 400 ms.
+	planSettleTime = 500 * time.Millisecond
+	// maxOtherHosts bounds the hosts of other services that a search asks. Together with maxSearches it bounds the memory
+	// of the searches at some 20 MB. A flow that more hosts may hold is not reset.
+	maxOtherHosts = 1024
+	// maxSingleQuestions is how many concurrent searches ask the hosts of other services at once. With more, the questions
+	// of all searches to one host are sent together, which takes a sixth of the bytes.
+	maxSingleQuestions = 32
+)
+
+// searchGroup is the set of hosts that may hold a flow of a route, according to one directory and one plan.
+type searchGroup struct {
+	directory *Directory
+	plan      *plan.Plan
+	// services holds the services whose hosts are in the group, in the order in which they are asked: those that the plan
+	// in force gives to the route, those that earlier plans gave to it, and all others.
+	services []searchedService
+	// hosts holds the hosts of each service in the order of Group.rank. A flow is usually on one of the first hosts of its
+	// service.
+	hosts []*hostLoad
+	// inForce is the number of hosts of the plan in force, and known that of these and of earlier plans.
+	inForce int
+	known   int
+	others  otherServices
+	// complete is set if the history reaches back to the oldest flow, so that no other service can hold the flow unless a
+	// newer plan is in force elsewhere.
+	complete bool
+	// changed is when the hosts of the services last changed.
+	changed time.Time
+}
+
+// searchedService is a service in a searchGroup. Its hosts are those from first to end.
+type searchedService struct {
+	name string
+	// digest is that of the service's hosts, and 0 if none is known. Denials are conclusive only as long as it is the same.
+	digest     uint64
+	first, end int
+}
+
+// otherServices is the part that the services unknown to the history have in a searchGroup.
+type otherServices uint8
+
+const (
+	// othersNone is set if there are no other services.
+	othersNone otherServices = iota
+	// othersPending is set until the other services are added to the group.
+	othersPending
+	othersAdded
+	// othersTooMany is set if the other services have more than maxOtherHosts hosts.
+	othersTooMany
+)
+
+// searchGroupFor returns the hosts of the services that the plan in force and earlier plans gave to the route. The hosts
+// of other services are added by addOthers.
+func (e *Entry) searchGroupFor(now time.Time, f gue.Flow, route *plan.Route) searchGroup {
+	lifetime := e.FlowLifetime
+	if lifetime == 0 {
+		lifetime = defaultFlowLifetime
+	}
+	history := e.plan.History
+	g := searchGroup{
+		directory: e.directory, plan: e.plan,
+		complete: history.ReachesBack(now, lifetime) && e.NewestPlan <= e.plan.Version,
+	}
+	for _, s := range route.Shares {
+		e.addService(now, f, &g, s.Service)
+	}
+	g.inForce = len(g.hosts)
+	for _, s := range history.EarlierServices(now, lifetime, route.Address) {
+		e.addService(now, f, &g, s)
+	}
+	g.known = len(g.hosts)
+	if slices.ContainsFunc(e.allServices(), func(s string) bool { return !g.includes(s) }) {
+		g.others = othersPending
+	}
+	return g
+}
+
+func (g *searchGroup) includes(service string) bool {
+	return slices.ContainsFunc(g.services, func(s searchedService) bool { return s.name == service })
+}
+
+// addService adds the hosts of a service, except those that have been down for longer than downHostWindow.
+func (e *Entry) addService(now time.Time, f gue.Flow, g *searchGroup, service string) {
+	if g.includes(service) {
+		return
+	}
+	added := searchedService{name: service, first: len(g.hosts)}
+	// Hosts of a service of which none is known may be found with any change of the membership.
+	changed := e.directoryChanged
+	if group := e.directory.Group(service); group != nil {
+		added.digest, changed = group.Digest, e.groupChanges[service].at
+		e.rankBuffer = group.rank(f, e.DataCentre, e.rankBuffer)
+		for _, r := range e.rankBuffer {
+			if hl := e.hostLoadOf(r.host.Instance); !r.host.Down || now.Sub(hl.downSince) < downHostWindow {
+				g.hosts = append(g.hosts, hl)
+			}
+		}
+	}
+	if changed.After(g.changed) {
+		g.changed = changed
+	}
+	added.end = len(g.hosts)
+	g.services = append(g.services, added)
+}
+
+// addOthers adds the hosts of all services that are not in the group yet, unless there are too many.
+func (e *Entry) addOthers(now time.Time, f gue.Flow, g *searchGroup) {
+	if g.others != othersPending {
+		return
+	}
+	if len(e.directory.byAddress)-len(g.hosts) > maxOtherHosts {
+		g.others = othersTooMany
+		return
+	}
+	g.others = othersAdded
+	for _, s := range e.allServices() {
+		e.addService(now, f, g, s)
+	}
+}
+
+// allServices returns the names of the services that have hosts or routes, sorted.
+func (e *Entry) allServices() []string {
+	if e.services != nil {
+		return e.services
+	}
+	names := make(map[string]bool, len(e.directory.byService))
+	for s := range e.directory.byService {
+		names[s] = true
+	}
+	for _, r := range e.plan.Routes {
+		for _, s := range r.Shares {
+			names[s.Service] = true
+		}
+	}
+	e.services = make([]string, 0, len(names))
+	for s := range names {
+		e.services = append(e.services, s)
+	}
+	slices.Sort(e.services)
+	return e.services
+}
+
+// groupChange is when the hosts of a service last changed, and the digest that they have since.
+type groupChange struct {
+	digest uint64
+	at     time.Time
+}
+
+// updateGroupChanges records when each service's hosts last changed.
+func (e *Entry) updateGroupChanges(now time.Time) {
+	previous := e.groupChanges
+	e.groupChanges = make(map[string]groupChange, len(e.directory.byService))
+	for name, g := range e.directory.byService {
+		c, known := previous[name]
+		if !known || c.digest != g.Digest {
+			c = groupChange{digest: g.Digest, at: now}
+		}
+		e.groupChanges[name] = c
+	}
+}
+
+// mustAskOthers reports whether the search must have denials of the hosts of all services.
+func (s *search) mustAskOthers(now time.Time) bool {
+	return s.group.others != othersNone && (!s.group.complete || now.Sub(s.started) < planSettleTime)
+}
+
+// canWiden reports whether widen has hosts to add to the scope.
+func (s *search) canWiden() bool {
+	return s.scope < len(s.group.hosts) || s.group.others == othersPending
+}
+
+// widen extends the scope first to the maxCandidates likeliest hosts, then to nearbyHosts, then to all hosts of the plan
+// in force, of earlier plans and of other services. While hosts are busy, flows are placed beyond the likeliest hosts,
+// but seldom in other data centres.
+func (e *Entry) widen(now time.Time, f gue.Flow, s *search) {
+	for _, scope := range []int{maxCandidates, nearbyHosts} {
+		if s.scope < scope && scope < s.group.inForce {
+			s.scope = scope
+			return
+		}
+	}
+	switch {
+	case s.scope < s.group.inForce:
+		s.scope = s.group.inForce
+	case s.scope < s.group.known:
+		s.scope = s.group.known
+	default:
+		e.widenToOthers(now, f, s)
+	}
+}
+
+// widenToOthers extends the scope to the hosts of all services.
+func (e *Entry) widenToOthers(now time.Time, f gue.Flow, s *search) {
+	e.addOthers(now, f, &s.group)
+	s.answers = append(s.answers, make([]answer, len(s.group.hosts)-len(s.answers))...)
+	s.scope = len(s.group.hosts)
+}
+
+// refreshSearch updates a search after the directory or the plan changed. It discards the answers of the services whose
+// hosts differ, because denials by earlier incarnations or by fewer hosts are not conclusive, and asks these hosts again.
+func (e *Entry) refreshSearch(now time.Time, f gue.Flow, route *plan.Route, ef *entryFlow) {
+	s := ef.search
+	if s.group.directory == e.directory && s.group.plan == e.plan {
+		return
+	}
+	previous, answers := s.group, s.answers
+	s.group = e.searchGroupFor(now, f, route)
+	if previous.others == othersAdded {
+		e.addOthers(now, f, &s.group)
+	}
+	s.answers = make([]answer, len(s.group.hosts))
+	changed := false
+	for _, service := range s.group.services {
+		i := slices.IndexFunc(previous.services, func(o searchedService) bool { return o.name == service.name })
+		if i < 0 || previous.services[i].digest != service.digest {
+			changed = true
+			continue
+		}
+		s.copyAnswers(service, previous.services[i], &previous, answers)
+	}
+	if changed {
+		s.scope, s.due = len(s.group.hosts), true
+		return
+	}
+	s.scope = min(s.scope, len(s.group.hosts))
+}
+
+// copyAnswers copies the answers of a service's hosts from an earlier group. Both groups hold the hosts in the same order,
+// but some may be left out.
+func (s *search) copyAnswers(service, from searchedService, previous *searchGroup, answers []answer) {
+	next := from.first
+	for i := service.first; i < service.end; i++ {
+		if k := slices.Index(previous.hosts[next:from.end], s.group.hosts[i]); k >= 0 {
+			s.answers[i] = answers[next+k]
+			next += k + 1
+		}
+	}
+}
--- a/kernel/flow/searchResult.go
+++ b/kernel/flow/searchResult.go
@@ -62,13 +62,15 @@
 }
 
 // acceptPossibleHolders ends a search in which no host confirmed the flow but at least one answered CodeMaybe. The
-// flow's packets are sent to all hosts that did not deny the flow until one confirms it.
+// flow's packets are sent to all hosts that did not deny the flow until one confirms it, except for hosts of services
+// that the history does not name and that did not answer.
 func (e *Entry) acceptPossibleHolders(now time.Time, f gue.Flow, ef *entryFlow, out *Output) {
 	s := ef.search
 	e.endSearch(f, ef)
 	var first *hostLoad
 	for i, hl := range s.group.hosts {
-		if s.answers[i] != answerDenied && s.answers[i] != answerElsewhere {
+		silent := s.answers[i] == answerNone
+		if s.answers[i] != answerDenied && s.answers[i] != answerElsewhere && (i < s.group.known || !silent) {
 			ef.possibleHolders = append(ef.possibleHolders, hl)
 		}
 		if s.answers[i] == answerMaybe && first == nil {
--- a/kernel/plan/plan.go
+++ b/kernel/plan/plan.go
@@ -32,6 +32,8 @@
 	Routes  []Route `json:"routes"`
 	// IdleTimeout is how long a flow may be idle before it is discarded; 0 means a default.
 	IdleTimeout time.Duration `json:"idleTimeout"`
+	// History records the services that earlier plans gave to the routes. It is nil if nothing is known of earlier plans.
+	History *History `json:"-"`
 
 	index map[gue.Endpoint]*Route
 }
