A SYN from an entry to an agent names its service

Cause: an agent without a plan did not check the route of a SYN. After a loss of power, an entry that took the store's object of a gone host for a host that serves placed SYNs on its address, which belonged to a host of another service, and the requests ran there.

Change: agents announce the member field synTrailer; entries append the name of the service to SYNs for them. An agent refuses a SYN that names another service, and without a plan also one that names none.

--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -50,7 +50,7 @@
 	FlowFound           = define(504, "flowFound", slog.LevelInfo, "holder of a flow found; count: hosts that denied holding it, or possible holders if the reason is perhaps; ageMs: duration of the search")
 	FlowReset           = define(505, "flowReset", slog.LevelWarn, "flow reset because no host holds it; count: hosts that denied holding it; ageMs: duration of the search, or time since the flow's last packet if the reason is targetReborn")
 	FlowUncertain       = define(506, "flowUncertain", slog.LevelWarn, "holder of a flow not found in time; the flow is not reset; count: hosts that did not answer, ageMs: duration of the search")
-	FlowRefused         = define(507, "flowRefused", slog.LevelInfo, "agent returned a new flow to its entry; count: requests in flight")
+	FlowRefused         = define(507, "flowRefused", slog.LevelInfo, "agent returned a new flow to its entry; see the reason; count: requests in flight")
 	FlowBounced         = define(508, "flowBounced", slog.LevelInfo, "packet that the target returned was sent back to its entry; count: requests in flight")
 	FlowsProbed         = define(509, "flowsProbed", slog.LevelWarn, "target restarted and is asked which flows it holds; count: flows")
 	FlowDropped         = define(510, "flowDropped", slog.LevelInfo, "packet dropped: SYN for an address without a route, or reset by a target that does not hold the flow; see the reason")
--- a/kernel/facts/member.go
+++ b/kernel/facts/member.go
@@ -42,6 +42,9 @@
 	// Target is set if the agent forwards flows to a target that terminates them. It is nil for an agent that
 	// terminates its flows itself and for an entry.
 	Target *Target `json:"target,omitempty"`
+	// SynTrailer is set by agents that take a trailer on SYNs, which names the service that a SYN is meant for. Agents of
+	// older builds drop packets with a trailer.
+	SynTrailer bool `json:"synTrailer,omitempty"`
 	// Incarnation is that of the fact that the member was decoded from, and 0 for a member that was not decoded.
 	Incarnation uint64 `json:"-"`
 }
--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -20,8 +20,13 @@
 }
 
 // handleSYN forwards a SYN to the target if the flow is known or the target can accept a new flow. Otherwise it returns
-// the SYN to the entry.
-func (a *Agent) handleSYN(now time.Time, from netip.AddrPort, f gue.Flow, packet []byte, hdr *Header, out *Output) {
+// the SYN to the entry. service is the name of the service that the SYN is meant for, or empty if the entry did not name
+// it.
+func (a *Agent) handleSYN(now time.Time, from netip.AddrPort, f gue.Flow, service, packet []byte, hdr *Header, out *Output) {
+	if len(service) > 0 && string(service) != a.Service {
+		a.refuse(from, f, CodeRefused, "otherService", packet, out)
+		return
+	}
 	af, known := a.flows.Get(f)
 	if known && af.state != stateClosed {
 		af.lastPacket = now
@@ -29,10 +34,13 @@
 		a.sendToTarget(from.Addr(), packet, out)
 		return
 	}
-	if code, reason := a.checkNewFlow(now, f, hdr); code != CodeNone {
-		a.Codec.SetMark(packet, Mark{Code: code})
-		out.send(from, packet)
-		out.record(Decision{Action: ActionRefused, Flow: f, Reason: reason, PlanVersion: a.planVersion(), Count: a.busyCount})
+	code, reason := a.checkNewFlow(now, f, hdr)
+	if code != CodeRefused && a.plan == nil && len(service) == 0 {
+		// Without a plan, nothing else tells whether the SYN is meant for this service.
+		code, reason = CodeRefused, "unnamedService"
+	}
+	if code != CodeNone {
+		a.refuse(from, f, code, reason, packet, out)
 		return
 	}
 	af = &agentFlow{state: stateOpening, busySince: now, lastPacket: now}
@@ -43,6 +51,13 @@
 	a.sendToTarget(from.Addr(), packet, out)
 }
 
+// refuse returns a SYN to the entry.
+func (a *Agent) refuse(to netip.AddrPort, f gue.Flow, code Code, reason string, packet []byte, out *Output) {
+	a.Codec.SetMark(packet, Mark{Code: code})
+	out.send(to, packet)
+	out.record(Decision{Action: ActionRefused, Flow: f, Reason: reason, PlanVersion: a.planVersion(), Count: a.busyCount})
+}
+
 // expectSYNACK records that a SYN is sent to the target.
 func (a *Agent) expectSYNACK(now time.Time) {
 	if a.liveness.unansweredSYN.IsZero() {
--- a/kernel/flow/codec.go
+++ b/kernel/flow/codec.go
@@ -87,7 +87,7 @@
 	Value uint32
 }
 
-// Codec parses and modifies packets of one form. Its methods do not allocate, except for EncodeMessage.
+// Codec parses and modifies packets of one form. Its methods do not allocate, except for EncodeMessage and AppendTrailer.
 type Codec interface {
 	// Parse validates a packet and returns its header, or the reason to drop it.
 	Parse(packet []byte) (Header, gue.Reason)
@@ -100,6 +100,11 @@
 	EncodeMessage(data []byte) []byte
 	// Data returns the data of a packet. The result aliases the packet.
 	Data(packet []byte) []byte
+	// AppendTrailer returns a copy of a SYN with a trailer after its end. Parse refuses packets with a trailer.
+	AppendTrailer(syn []byte, trailer string) []byte
+	// SplitTrailer returns a SYN without its trailer, and the trailer, which is empty if there is none. It returns any other
+	// packet as it is. The results alias the packet.
+	SplitTrailer(packet []byte) (rest, trailer []byte)
 	// RequestID returns the ID of the request that begins in a packet's data, or nil. The result aliases the packet.
 	RequestID(packet []byte) []byte
 	// HeaderLength returns the length of a packet without data, in bytes.
--- a/kernel/flow/codec_test.go
+++ b/kernel/flow/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
 )
@@ -48,6 +49,21 @@
 
 func (testCodec) Data(p []byte) []byte { return p[testHeaderLength:] }
 
+func (testCodec) AppendTrailer(syn []byte, trailer string) []byte {
+	return append(slices.Clone(syn), trailer...)
+}
+
+func (testCodec) SplitTrailer(p []byte) (rest, trailer []byte) {
+	if len(p) < testHeaderLength || p[12]&1 == 0 {
+		return p, nil
+	}
+	end := testHeaderLength + int(binary.BigEndian.Uint16(p[30:]))
+	if end >= len(p) {
+		return p, nil
+	}
+	return p[:end], p[end:]
+}
+
 func (testCodec) RequestID(p []byte) []byte { return p[testHeaderLength:] }
 
 func (testCodec) HeaderLength() int { return testHeaderLength }
--- a/kernel/flow/directory.go
+++ b/kernel/flow/directory.go
@@ -25,6 +25,8 @@
 	Placeable bool
 	// Down reports whether the other members consider the instance dead because it does not respond.
 	Down bool
+	// SynTrailer reports whether the agent takes a trailer on SYNs.
+	SynTrailer bool
 
 	nameHash uint64
 }
@@ -63,6 +65,7 @@
 			Service:    m.Service,
 			Packets:    m.Packets,
 			Down:       m.State == facts.StateDown,
+			SynTrailer: m.SynTrailer,
 			nameHash:   xxhash.Sum64String(m.Instance),
 		}
 		if m.Target != nil {
--- a/kernel/flow/placement.go
+++ b/kernel/flow/placement.go
@@ -12,7 +12,7 @@
 func (e *Entry) handleSYN(now time.Time, f gue.Flow, route *plan.Route, packet []byte, hdr *Header, out *Output) {
 	ef, known := e.flows.Get(f)
 	if known && (ef.stage == stageIdle || ef.stage == stageBusy) && ef.holder != nil {
-		e.forward(ef.holder, packet, Mark{Value: uint32(e.plan.Version)}, out)
+		e.forwardSYN(ef.holder, packet, Mark{Value: uint32(e.plan.Version)}, out)
 		return
 	}
 	if !e.hasPlaceableHost(f, route) && e.hold(now, f, packet) {
@@ -73,13 +73,22 @@
 	ef.placements++
 	ef.waitingSince = now
 	e.setStage(ef, hl, stageOpening)
-	e.forward(hl, packet, mark, out)
+	e.forwardSYN(hl, packet, mark, out)
 	out.record(Decision{
 		Action: action, Flow: f, Instance: hl.host.Instance, Reason: service, PlanVersion: e.plan.Version,
 		Count: hl.outstanding, AgeMs: hl.serviceTime.Milliseconds(),
 	})
 }
 
+// forwardSYN sends a SYN to a host, or drops it if the host has left. A trailer names the host's service, so that an agent
+// that has taken over the host's address refuses the SYN if it belongs to another service.
+func (e *Entry) forwardSYN(hl *hostLoad, packet []byte, m Mark, out *Output) {
+	if hl.host != nil && hl.host.SynTrailer {
+		packet = e.Codec.AppendTrailer(packet, hl.host.Service)
+	}
+	e.forward(hl, packet, m, out)
+}
+
 // abandonPlacement drops a SYN that could not be placed; the caller retransmits it. The last retransmission is answered
 // with a reset if every tried host returned the SYN, so that the caller does not have to wait for a timeout.
 func (e *Entry) abandonPlacement(now time.Time, f gue.Flow, ef *entryFlow, hdr *Header, out *Output) {
