One question about a route in place of one about each of its flows

Cause: without a history, as after a loss of power, a search asks the hosts of all services about each flow.

Change: hosts of services that neither the plan in force nor an earlier one gave to the route are asked whether they hold any flow of the route. Only agents that announce the member field routeQuestions are asked so.

FuzzSteps 20 s and FuzzQuestions 10 s pass.

--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -79,7 +79,7 @@
 	a.node = &control.Node{
 		Self: facts.Member{
 			Instance: s.Instance, Role: facts.RoleAgent, DataCentre: s.DataCentre, Service: s.Service,
-			Packets: s.Packets, Control: s.Control, State: facts.StateServing, SynTrailer: true,
+			Packets: s.Packets, Control: s.Control, State: facts.StateServing, SynTrailer: true, RouteQuestions: true,
 		},
 		Routes: s.ControlRoutes, Store: components.Store, Format: components.Format, Logger: logger, Seeds: s.Entries,
 		OnMembers: a.onMembers, OnPlan: a.onPlan, OnRestore: a.restore,
--- a/kernel/facts/member.go
+++ b/kernel/facts/member.go
@@ -45,6 +45,9 @@
 	// SynTrailer is set by agents that take a trailer on SYNs, which names the service that a SYN is meant for. Agents of
 	// older builds drop packets with a trailer.
 	SynTrailer bool `json:"synTrailer,omitempty"`
+	// RouteQuestions is set by agents that understand questions about all flows of a route. An agent of an older build
+	// would deny them as it denies an unknown flow.
+	RouteQuestions bool `json:"routeQuestions,omitempty"`
 	// Incarnation is that of the fact that the member was decoded from, and 0 for a member that was not decoded.
 	Incarnation uint64 `json:"-"`
 }
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -61,6 +61,8 @@
 	// digest holds the low 32 bits of the digest of the service's group, as known to this agent.
 	digest uint32
 	flows  *simplelru.LRU[gue.Flow, *agentFlow]
+	// trackedRoutes holds the addresses of all flows that were tracked since none last was.
+	trackedRoutes map[gue.Endpoint]bool
 	// busyCount is the number of flows that count as load: those with an unfinished handshake or an unanswered request.
 	busyCount int
 	// handshakes holds the recently opened flows, oldest first.
--- a/kernel/flow/ask.go
+++ b/kernel/flow/ask.go
@@ -16,6 +16,8 @@
 	host  *hostLoad
 	flows []gue.Flow
 	asked time.Time
+	// routes is set if the flows stand for routes.
+	routes bool
 }
 
 // ask asks the hosts in scope about one flow. If the budget is used up, ContinueSearches asks them together with other
@@ -29,7 +31,7 @@
 		case s.answers[i] == answerUnsure:
 			e.sendUnsure(now, s, i, out)
 		case s.answers[i] == answerNone:
-			if !e.sendQuestion(now, hl, []gue.Flow{f}, out) {
+			if !e.sendQuestion(now, hl, []gue.Flow{f}, false, out) {
 				s.due = true
 				continue
 			}
@@ -58,6 +60,7 @@
 // because of maxPacketsPerStep.
 func (e *Entry) askDue(now time.Time, out *Output) (more bool) {
 	byHost := map[*hostLoad][]gue.Flow{}
+	routes := map[*hostLoad]map[gue.Endpoint]bool{}
 	for f, ef := range e.searches {
 		s := ef.search
 		if !s.due {
@@ -73,7 +76,13 @@
 			case hl.host == nil || now.Before(hl.askAfter):
 			case s.answers[i] == answerUnsure:
 				e.sendUnsure(now, s, i, out)
-			case s.answers[i] == answerNone || s.answers[i] == answerElsewhere:
+			case s.answers[i] != answerNone && s.answers[i] != answerElsewhere:
+			case s.mayAskAboutRoute(now, i, f.Service):
+				if routes[hl] == nil {
+					routes[hl] = map[gue.Endpoint]bool{}
+				}
+				routes[hl][f.Service] = true
+			default:
 				byHost[hl] = append(byHost[hl], f)
 			}
 		}
@@ -81,13 +90,14 @@
 	for hl, flows := range byHost {
 		for len(flows) > 0 {
 			n := min(len(flows), maxQuestionFlows)
-			if !e.sendQuestion(now, hl, flows[:n:n], out) {
+			if !e.sendQuestion(now, hl, flows[:n:n], false, out) {
 				e.markDue(flows)
 				break
 			}
 			flows = flows[n:]
 		}
 	}
+	e.askAboutRoutes(now, routes, out)
 	return more
 }
 
@@ -98,8 +108,8 @@
 	}
 }
 
-// sendQuestion asks a host about flows. It returns false if the budget is used up.
-func (e *Entry) sendQuestion(now time.Time, hl *hostLoad, flows []gue.Flow, out *Output) bool {
+// sendQuestion asks a host about flows, which stand for routes if routes is set. It returns false if the budget is used up.
+func (e *Entry) sendQuestion(now time.Time, hl *hostLoad, flows []gue.Flow, routes bool, out *Output) bool {
 	length := e.Codec.HeaderLength() + questionNumberLength + len(flows)*flowLength
 	if !e.budget.take(now, e.LinkMbps, length) {
 		return false
@@ -108,7 +118,7 @@
 	if e.questions == nil {
 		e.questions = make(map[uint32]askedQuestion)
 	}
-	e.questions[e.questionNumber] = askedQuestion{host: hl, flows: flows, asked: now}
+	e.questions[e.questionNumber] = askedQuestion{host: hl, flows: flows, asked: now, routes: routes}
 	packet := e.Codec.EncodeMessage(appendQuestion(nil, e.questionNumber, flows))
 	e.Codec.SetMark(packet, Mark{Code: CodeAsk})
 	out.send(hl.host.Packets, packet)
@@ -144,6 +154,10 @@
 	delete(e.questions, number)
 	sameHosts := e.knowsSameHosts(hl, hdr)
 	for i, f := range question.flows {
+		if question.routes {
+			e.handleRouteAnswer(now, f.Service, &question, answer(answers[i]), sameHosts, out)
+			continue
+		}
 		e.handleAnswer(now, f, hl, answer(answers[i]), sameHosts, out)
 	}
 }
--- a/kernel/flow/directory.go
+++ b/kernel/flow/directory.go
@@ -27,6 +27,8 @@
 	Down bool
 	// SynTrailer reports whether the agent takes a trailer on SYNs.
 	SynTrailer bool
+	// RouteQuestions reports whether the agent understands questions about all flows of a route.
+	RouteQuestions bool
 
 	nameHash uint64
 }
@@ -60,13 +62,14 @@
 			continue
 		}
 		h := &Host{
-			Instance:   m.Instance,
-			DataCentre: m.DataCentre,
-			Service:    m.Service,
-			Packets:    m.Packets,
-			Down:       m.State == facts.StateDown,
-			SynTrailer: m.SynTrailer,
-			nameHash:   xxhash.Sum64String(m.Instance),
+			Instance:       m.Instance,
+			DataCentre:     m.DataCentre,
+			Service:        m.Service,
+			Packets:        m.Packets,
+			Down:           m.State == facts.StateDown,
+			SynTrailer:     m.SynTrailer,
+			RouteQuestions: m.RouteQuestions,
+			nameHash:       xxhash.Sum64String(m.Instance),
 		}
 		if m.Target != nil {
 			h.Target = *m.Target
--- a/kernel/flow/fuzz_test.go
+++ b/kernel/flow/fuzz_test.go
@@ -89,6 +89,7 @@
 	h.member.Target = &target
 	h.member.Incarnation = uint64(choice)
 	h.member.SynTrailer = choice&64 != 0
+	h.member.RouteQuestions = choice&32 != 0
 	if choice >= 128 {
 		h.member.Packets = netip.AddrPortFrom(address(20+int(choice)%len(tn.hosts)).Addr(), testPort)
 	}
--- a/kernel/flow/knowledge.go
+++ b/kernel/flow/knowledge.go
@@ -40,6 +40,10 @@
 
 // track adds a flow. If an older one has to make room, the agent no longer knows all flows of its target.
 func (a *Agent) track(f gue.Flow, af *agentFlow) {
+	if a.trackedRoutes == nil {
+		a.trackedRoutes = make(map[gue.Endpoint]bool)
+	}
+	a.trackedRoutes[f.Service] = true
 	if a.flows.Add(f, af) {
 		a.sawAllSYNs = false
 	}
@@ -57,8 +61,11 @@
 	out.send(from, reply)
 }
 
-// answerFor returns what the agent knows about a flow.
+// answerFor returns what the agent knows about a flow, or about a route if the flow stands for one.
 func (a *Agent) answerFor(f gue.Flow) answer {
+	if f == routeFlow(f.Service) {
+		return a.answerForRoute(f.Service)
+	}
 	af, known := a.flows.Peek(f)
 	switch {
 	case known && (af.state == stateOpen || af.state == stateClosed):
--- a/kernel/flow/load.go
+++ b/kernel/flow/load.go
@@ -44,6 +44,8 @@
 	// silent counts the questions in a row that the host did not answer. It is not asked about flows before askAfter.
 	silent   int
 	askAfter time.Time
+	// flowQuestionsUntil is until when the host is asked about single flows of an address, because it may hold some.
+	flowQuestionsUntil map[gue.Endpoint]time.Time
 	// lastAccepted is when a caller last completed a handshake with the host through this entry.
 	lastAccepted time.Time
 }
--- a/kernel/flow/probe.go
+++ b/kernel/flow/probe.go
@@ -45,6 +45,9 @@
 	if a.plan != nil && a.plan.IdleTimeout > 0 {
 		idleTimeout = a.plan.IdleTimeout + idleMargin
 	}
+	if a.flows.Len() == 0 {
+		clear(a.trackedRoutes)
+	}
 	for _, f := range a.flows.Keys() {
 		af, _ := a.flows.Peek(f)
 		age := now.Sub(af.lastPacket)
