A host that is down and asked late is asked as often as the others

Cause: the silence of a host that is down counts as a denial after two (or, if it was silent before, one) rounds of questions. Rounds were counted from the start of the search, also for hosts of earlier plans' and of other services, which are asked later. One lost question made a search reset a flow that such a host held.

Change: rounds are counted from the one in which the host was first asked.

Measured: TestDownHostThatIsAskedLastIsAskedAgain fails without the change and passes. FuzzSteps passes (15 s).

--- a/kernel/flow/history_test.go
+++ b/kernel/flow/history_test.go
@@ -120,6 +120,33 @@
 	}
 }
 
+// Pattern: a host that was cut off and holds the flow is reachable again, but still marked as down, and its service is asked
+// last. Its silence counted as a denial after the first question, because the hosts asked before had been asked again.
+func TestDownHostThatIsAskedLastIsAskedAgain(t *testing.T) {
+	tn := newServicesNetwork(t, "b", "a")
+	n, h := tn.openFlowAt("b")
+	tn.usePlan("a")
+	tn.plan.History = nil
+	h.member.State = facts.StateDown
+	tn.updateEntry(1)
+	tn.updateAgents()
+	tn.advance(groupSettleTime)
+	tn.entries[1].hostLoadOf(h.member.Instance).silent = 5
+	asked, silentUntil := 0, tn.now.Add(5*locateRetryInterval/2)
+	tn.dropPacket = func(to netip.AddrPort, _ Header) bool {
+		if to == h.member.Packets {
+			asked++
+		}
+		return to == h.member.Packets && asked == 1 || to == tn.hosts[2].member.Packets && tn.now.Before(silentUntil)
+	}
+	tn.sendRequest(1, n, h)
+	for range 12 {
+		tn.advance(60 * time.Millisecond)
+	}
+	require.Empty(t, tn.decisionReasons(ActionReset))
+	require.Len(t, tn.decisionReasons(ActionFound), 1)
+}
+
 // A service without known hosts may have some that this entry has not learned of yet.
 func TestResetWaitsForHostsOfEarlierService(t *testing.T) {
 	tn := newServicesNetwork(t, "a", "b")
--- a/kernel/flow/search.go
+++ b/kernel/flow/search.go
@@ -62,6 +62,9 @@
 	answers []answer
 	// scope is the number of hosts, from the start of the group, that the search asks.
 	scope int
+	// knownFrom and othersFrom are the values of retries when the hosts of earlier plans' services, and those of others, were
+	// first asked.
+	knownFrom, othersFrom int
 	// due is set if hosts in scope are to be asked by the next call of ContinueSearches.
 	due bool
 	// queued holds the packets that wait for the holder. The first of them is also the one that targets of unsure agents
@@ -114,13 +117,20 @@
 	return n
 }
 
-// countsAsDenied reports whether the silence of a host that is down counts as a denial. One that did not answer questions
+// countsAsDenied reports whether the silence of the i-th host, if it is down, counts as a denial. One that did not answer questions
 // about other flows either is asked again less often, but at least once: it may be reachable again.
-func (s *search) countsAsDenied(now time.Time, hl *hostLoad) bool {
+func (s *search) countsAsDenied(now time.Time, i int) bool {
+	hl := s.group.hosts[i]
 	retries := downHostRetries
 	if hl.silent >= downHostRetries {
 		retries = 1
 	}
+	switch {
+	case i >= s.group.known:
+		retries += s.othersFrom
+	case i >= s.group.inForce:
+		retries += s.knownFrom
+	}
 	return hl.isDown() && s.retries >= retries && now.Sub(s.lastRound) >= downAnswerTime
 }
 
@@ -134,8 +144,8 @@
 	case s.group.others != othersAdded:
 		left++
 	}
-	for i, hl := range hosts {
-		if s.answers[i].isFinal() || s.countsAsDenied(now, hl) {
+	for i := range hosts {
+		if s.answers[i].isFinal() || s.countsAsDenied(now, i) {
 			continue
 		}
 		left++
@@ -253,7 +263,8 @@
 // flow, it asks the hosts of the other ones from the second time on.
 func (e *Entry) retry(now time.Time, f gue.Flow, s *search) {
 	s.retries++
-	s.scope, s.due, s.lastRound = max(s.scope, s.group.known), true, now
+	s.widenToKnown()
+	s.due, s.lastRound = true, now
 	if s.retries > 1 && !s.group.complete {
 		e.widenToOthers(now, f, s)
 	}
--- a/kernel/flow/searchGroup.go
+++ b/kernel/flow/searchGroup.go
@@ -199,14 +199,24 @@
 	case s.scope < s.group.inForce:
 		s.scope = s.group.inForce
 	case s.scope < s.group.known:
-		s.scope = s.group.known
+		s.widenToKnown()
 	default:
 		e.widenToOthers(now, f, s)
 	}
 }
 
+// widenToKnown extends the scope to all hosts of the plan in force and of earlier plans.
+func (s *search) widenToKnown() {
+	if s.scope < s.group.known {
+		s.scope, s.knownFrom = s.group.known, s.retries
+	}
+}
+
 // widenToOthers extends the scope to the hosts of all services.
 func (e *Entry) widenToOthers(now time.Time, f gue.Flow, s *search) {
+	if s.group.others == othersPending {
+		s.othersFrom = s.retries
+	}
 	e.addOthers(now, f, &s.group)
 	s.answers = append(s.answers, make([]answer, len(s.group.hosts)-len(s.answers))...)
 	s.scope = len(s.group.hosts)
@@ -236,6 +246,7 @@
 	}
 	if changed {
 		s.scope, s.due = len(s.group.hosts), true
+		s.knownFrom, s.othersFrom = s.retries, s.retries
 		return
 	}
 	s.scope = min(s.scope, len(s.group.hosts))
