Flows without a host are reset while the membership is still being learned

Cause: after a loss of power a search ended only once the group of hosts, with their targets' incarnations, had been the same for 300 ms at the entry and at all agents. Each target that announced itself and each agent that listed the members later put it off: the first resets came 0.9 s after the last target was back, while requests have objectives of 200 ms.

Change: a search waits for 300 ms only after the entry has learned of another host, not after a target has restarted or a host has left, and not for the hosts of its first listing of the store. Agents report the digest of the hosts alone if the question asks for it, so that entries of earlier builds still get the one that they compare, and none in the first second after their start. An agent's digest also counts if it is that of a set that the entry knew within 2 s. After a change only new hosts and restarted targets are asked again.

--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -193,6 +193,7 @@
 // onMembers replaces the directory of hosts after a change of members. It runs on the control goroutine.
 func (e *passthroughEntry) onMembers(_ time.Time, members []facts.Member) {
 	d := flow.NewDirectory(members)
+	d.Listed = e.node.Registrar.Listed()
 	e.logConflicts(d.Conflicts)
 	e.directory.Store(d)
 	e.updateReady()
--- a/kernel/control/registrar.go
+++ b/kernel/control/registrar.go
@@ -66,7 +66,9 @@
 	written   facts.Fact
 	writtenAt time.Time
 	// deleted is set once the object was deleted because the target has terminated. stopping is set by Remove.
-	deleted  atomic.Bool
+	deleted atomic.Bool
+	// listed is set once the members were listed and accepted.
+	listed   atomic.Bool
 	stopping atomic.Bool
 }
 
@@ -84,6 +86,12 @@
 	r.health = dependencyHealth{name: "storeMembers", logger: r.Logger}
 }
 
+// Listed reports whether the instance has listed the members in the store since its start. If it does so on the control
+// goroutine, the members of the listing are accepted.
+func (r *Registrar) Listed() bool {
+	return r.listed.Load()
+}
+
 // MarkChanged schedules a write of this instance's fact. It does not block.
 func (r *Registrar) MarkChanged() {
 	select {
@@ -186,6 +194,7 @@
 	events.MembersRead.Log(r.Logger, slog.Int("members", len(all)), slog.Uint64("revision", page.Revision))
 	return r.Gossip.Do(ctx, func(now time.Time) {
 		r.Gossip.Accept(now, all)
+		r.listed.Store(true)
 		r.Gossip.ExchangeNow(ctx, now)
 	})
 }
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -28,6 +28,9 @@
 	// bounceTimeout is the longest time that a target takes to bounce a packet. A target that has not bounced the
 	// packet by then holds the flow or held it before.
 	bounceTimeout = 60 * time.Millisecond
+	// membersTimeout is how long after its start an agent does not report which hosts it knows. It lists the members up to
+	// 0.6 s after its start, from data that may be out of date, and exchanges them with an entry every 0.4 s.
+	membersTimeout = time.Second
 	// closedTimeout is how long a flow is remembered that ended at the target or whose state is unknown.
 	closedTimeout = 3 * time.Second
 )
@@ -58,9 +61,13 @@
 	liveness   liveness
 	// lastTargetPacket is when the target last sent a packet.
 	lastTargetPacket time.Time
-	// digest holds the low 32 bits of the digest of the service's group, as known to this agent.
-	digest uint32
-	flows  *simplelru.LRU[gue.Flow, *agentFlow]
+	// group is the service's group, as known to this agent, or nil. digest and hostsDigest hold the low 32 bits of its
+	// digests once knowsMembers is set, and 0 before.
+	group        *Group
+	knowsMembers bool
+	digest       uint32
+	hostsDigest  uint32
+	flows        *simplelru.LRU[gue.Flow, *agentFlow]
 	// trackedRoutes holds the addresses of all flows that were tracked since none last was.
 	trackedRoutes map[gue.Endpoint]bool
 	// busyCount is the number of flows that count as load: those with an unfinished handshake or an unanswered request.
@@ -120,11 +127,16 @@
 	}
 }
 
-// SetDirectory updates the digest that the agent reports with its answers.
+// SetDirectory updates the digests that the agent reports with its answers.
 func (a *Agent) SetDirectory(d *Directory) {
-	a.digest = 0
-	if g := d.Group(a.Service); g != nil {
-		a.digest = uint32(g.Digest)
+	a.group = d.Group(a.Service)
+	a.updateDigests()
+}
+
+func (a *Agent) updateDigests() {
+	a.digest, a.hostsDigest = 0, 0
+	if a.group != nil && a.knowsMembers {
+		a.digest, a.hostsDigest = uint32(a.group.Digest), uint32(a.group.HostsDigest)
 	}
 }
 
@@ -190,7 +202,7 @@
 		return
 	}
 	if hdr.Mark.Code == CodeAsk {
-		a.handleQuestion(from, packet, out)
+		a.handleQuestion(from, packet, hdr.Mark.Value, out)
 		return
 	}
 	f := hdr.FlowFromCaller()
--- a/kernel/flow/ask.go
+++ b/kernel/flow/ask.go
@@ -120,7 +120,7 @@
 	}
 	e.questions[e.questionNumber] = askedQuestion{host: hl, flows: flows, asked: now, routes: routes}
 	packet := e.Codec.EncodeMessage(appendQuestion(nil, e.questionNumber, flows))
-	e.Codec.SetMark(packet, Mark{Code: CodeAsk})
+	e.Codec.SetMark(packet, Mark{Code: CodeAsk, Value: questionFormHosts})
 	out.send(hl.host.Packets, packet)
 	return true
 }
@@ -152,7 +152,7 @@
 		return
 	}
 	delete(e.questions, number)
-	sameHosts := e.knowsSameHosts(hl, hdr)
+	sameHosts := e.knowsSameHosts(now, hl, hdr)
 	for i, f := range question.flows {
 		if question.routes {
 			e.handleRouteAnswer(now, f.Service, &question, answer(answers[i]), sameHosts, out)
@@ -162,12 +162,6 @@
 	}
 }
 
-// knowsSameHosts reports whether the agent that sent a packet knows the same hosts of its service as the entry.
-func (e *Entry) knowsSameHosts(hl *hostLoad, hdr *Header) bool {
-	g := e.directory.Group(hl.host.Service)
-	return g != nil && uint32(g.Digest) == hdr.Mark.Value
-}
-
 // handleAnswer handles an agent's answer about one flow.
 func (e *Entry) handleAnswer(now time.Time, f gue.Flow, hl *hostLoad, a answer, sameHosts bool, out *Output) {
 	ef := e.searches[f]
--- a/kernel/flow/directory.go
+++ b/kernel/flow/directory.go
@@ -40,6 +40,8 @@
 	Placeable int
 	// Digest is a hash of the hosts and their targets' incarnations. Groups with equal digests are taken to be equal.
 	Digest uint64
+	// HostsDigest is a hash of the hosts alone.
+	HostsDigest uint64
 }
 
 // Directory is an immutable snapshot of all hosts. The zero value is empty.
@@ -47,6 +49,9 @@
 	byService map[string]*Group
 	byAddress map[netip.Addr]*Host
 	placeable int
+	// Listed is set if the members include all that the store held at some time since the instance's start.
+	Listed bool
+
 	// Conflicts holds the agents that are left out because another one holds their address.
 	Conflicts []facts.AddressConflict
 }
@@ -79,7 +84,7 @@
 	}
 	for _, g := range d.byService {
 		slices.SortFunc(g.Hosts, func(a, b *Host) int { return strings.Compare(a.Instance, b.Instance) })
-		g.Digest = groupDigest(g.Hosts)
+		g.Digest, g.HostsDigest = groupDigest(g.Hosts), hostsDigest(g.Hosts)
 	}
 	return d
 }
--- /dev/null
+++ b/kernel/flow/hostSets_test.go
@@ -0,0 +1,143 @@
+package flow
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+)
+
+// restartAll restarts all agents and targets and the entry, as after a loss of power. The entry lists the members in the
+// store, which holds the earlier incarnations. The agents know some members only.
+func (tn *testNetwork) restartAll() {
+	tn.startEntry(0)
+	tn.entries[0].directory.Listed = true
+	tn.entries[0].LinkMbps = thinLinkMbps
+	tn.entries[0].groupChanges = nil
+	tn.entries[0].updateGroupChanges(tn.now)
+	for i, h := range tn.hosts {
+		h.startTarget()
+		tn.startAgent(h)
+		// The agent lists the members from data that is out of date.
+		h.agent.SetDirectory(NewDirectory([]facts.Member{h.member, tn.hosts[(i+1)%len(tn.hosts)].member}))
+		h.agent.sawAllSYNs = true
+	}
+}
+
+// Pattern: all machines lost power, and callers go on with long flows that no target holds any more. The entry knows all
+// hosts from the store, but learns their targets' incarnations one by one, and the agents list the members only later. Each
+// of these changes put off the resets, until 0.9 s after the last target was back. Requests have an objective of 200 ms.
+func TestLostFlowsAreResetWhileTheMembershipIsLearned(t *testing.T) {
+	tn := newSearchLoad(t, true)
+	tn.restartAll()
+	for i, h := range tn.hosts {
+		// The entry learns of one restarted target after the other.
+		current := h.member
+		h.member.Target = &facts.Target{ID: current.Target.ID, StartedMs: current.Target.StartedMs + 1, State: facts.TargetReady, Slots: 4}
+		tn.updateEntry(0)
+		tn.entries[0].directory.Listed = true
+		tn.send(0, Header{Source: caller(i), Acknowledged: 1, Length: requestBytes})
+		tn.advance(10 * time.Millisecond)
+	}
+	tn.runLoad(200*time.Millisecond, func() bool { return len(tn.entries[0].searches) == 0 })
+	require.Len(t, tn.decisionReasons(ActionReset), loadHosts)
+	for _, d := range tn.decisions {
+		if d.Action == ActionReset {
+			require.LessOrEqual(t, d.AgeMs, int64(200))
+		}
+	}
+}
+
+// Guards against the reset of a flow whose host the entry does not know, because agents that have just started, which know
+// no host either, deny it.
+func TestDenialsOfAgentsThatJustStartedNeedAListing(t *testing.T) {
+	tn := newSearchLoad(t, true)
+	tn.restartAll()
+	tn.entries[0].directory.Listed = false
+	tn.sendLostFlows(1)
+	tn.advance(groupSettleTime)
+	require.Empty(t, tn.decisionReasons(ActionReset))
+}
+
+// Guards against the reset of a flow whose host another instance has just added.
+func TestDenialsAreInconclusiveRightAfterAHostJoined(t *testing.T) {
+	tn := newTestNetwork(t, 2, 3)
+	holder := tn.openFlow(0, 1)
+	var others []facts.Member
+	for _, h := range tn.hosts {
+		if h != holder {
+			others = append(others, h.member)
+		}
+	}
+	e := tn.entries[1]
+	e.Update(tn.now, tn.plan, NewDirectory(others))
+	e.directory.Listed = true
+	for _, h := range tn.hosts {
+		if h != holder {
+			h.agent.SetDirectory(e.directory)
+		}
+	}
+	tn.dropPacket = func(to netip.AddrPort, hdr Header) bool {
+		return to == holder.member.Packets && hdr.Mark.Code == CodeAsk
+	}
+	tn.updateEntry(1)
+	tn.updateAgents()
+	tn.sendRequest(1, 1, holder)
+	for _, h := range tn.hosts {
+		if h == holder {
+			h.member.State = facts.StateLeft
+		}
+	}
+	tn.updateEntry(1)
+	tn.advance(groupSettleTime / 2)
+	require.Empty(t, tn.decisionReasons(ActionReset))
+}
+
+// Property: a digest counts only if the entry knows, or knew within hostSetRetention, each host of the set that it stands
+// for.
+func TestKnownHostSets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := &Entry{}
+		now := time.Unix(1000, 0)
+		known := map[string]time.Time{}
+		var sets []*Group
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			names := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}), 1, 5, rapid.ID[string]).Draw(t, "hosts")
+			slices.Sort(names)
+			g := &Group{}
+			for _, n := range names {
+				g.Hosts = append(g.Hosts, &Host{Instance: n, Service: "s"})
+			}
+			g.HostsDigest, g.Digest = hostsDigest(g.Hosts), groupDigest(g.Hosts)
+			sets = append(sets, g)
+			if c, adopted := e.groupChanges["s"]; adopted {
+				for _, h := range c.group.Hosts {
+					known[h.Instance] = now
+				}
+			}
+			if rapid.Bool().Draw(t, "adopted") {
+				e.directory = &Directory{byService: map[string]*Group{"s": g}}
+				e.updateGroupChanges(now)
+			}
+			if c, adopted := e.groupChanges["s"]; adopted {
+				for _, h := range c.group.Hosts {
+					known[h.Instance] = now
+				}
+			}
+			asked := rapid.SampledFrom(sets).Draw(t, "digest")
+			hl := &hostLoad{host: &Host{Service: "s"}}
+			if e.directory != nil && e.knowsSameHosts(now, hl, &Header{Mark: Mark{Value: uint32(asked.HostsDigest)}}) {
+				for _, h := range asked.Hosts {
+					at, was := known[h.Instance]
+					require.True(t, was && now.Sub(at) <= hostSetRetention, "host %s", h.Instance)
+				}
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+		}
+	})
+}
--- a/kernel/flow/knowledge.go
+++ b/kernel/flow/knowledge.go
@@ -49,15 +49,20 @@
 	}
 }
 
-// handleQuestion answers an entry's question which of some flows the target holds.
-func (a *Agent) handleQuestion(from netip.AddrPort, packet []byte, out *Output) {
+// handleQuestion answers an entry's question which of some flows the target holds. The question's form tells which digest
+// the entry expects; entries of earlier builds expect that of the hosts and their targets' incarnations.
+func (a *Agent) handleQuestion(from netip.AddrPort, packet []byte, form uint32, out *Output) {
 	data, ok := appendAnswers(nil, a.Codec.Data(packet), a.answerFor)
 	if !ok {
 		out.DropReason = gue.ReasonTag
 		return
 	}
 	reply := a.Codec.EncodeMessage(data)
-	a.Codec.SetMark(reply, Mark{Code: CodeAnswers, Value: a.digest})
+	digest := a.digest
+	if form == questionFormHosts {
+		digest = a.hostsDigest
+	}
+	a.Codec.SetMark(reply, Mark{Code: CodeAnswers, Value: digest})
 	out.send(from, reply)
 }
 
--- a/kernel/flow/search.go
+++ b/kernel/flow/search.go
@@ -198,7 +198,7 @@
 		return
 	}
 	e.refreshSearch(now, f, route, ef)
-	ef.search.recordDenial(hl, e.knowsSameHosts(hl, hdr))
+	ef.search.recordDenial(hl, e.knowsSameHosts(now, hl, hdr))
 	e.advanceSearch(now, f, ef, out)
 }
 
--- a/kernel/flow/searchGroup.go
+++ b/kernel/flow/searchGroup.go
@@ -31,8 +31,9 @@
 	// in force gives to the route, those that earlier plans gave to it, and all others.
 	services []searchedService
 	// hosts holds the hosts of each service in the order of Group.rank. A flow is usually on one of the first hosts of its
-	// service.
-	hosts []*hostLoad
+	// service. members holds their entries in the directory, in the same order.
+	hosts   []*hostLoad
+	members []*Host
 	// inForce is the number of hosts of the plan in force, and known that of these and of earlier plans.
 	inForce int
 	known   int
@@ -40,15 +41,13 @@
 	// complete is set if the history reaches back to the oldest flow, so that no other service can hold the flow unless a
 	// newer plan is in force elsewhere.
 	complete bool
-	// changed is when the hosts of the services last changed.
+	// changed is when one of the services last got another host.
 	changed time.Time
 }
 
 // searchedService is a service in a searchGroup. Its hosts are those from first to end.
 type searchedService struct {
-	name string
-	// digest is that of the service's hosts, and 0 if none is known. Denials are conclusive only as long as it is the same.
-	digest     uint64
+	name       string
 	first, end int
 }
 
@@ -104,11 +103,11 @@
 	// Hosts of a service of which none is known may be found with any change of the membership.
 	changed := e.directoryChanged
 	if group := e.directory.Group(service); group != nil {
-		added.digest, changed = group.Digest, e.groupChanges[service].at
+		changed = e.groupChanges[service].at
 		e.rankBuffer = group.rank(f, e.DataCentre, e.rankBuffer)
 		for _, r := range e.rankBuffer {
 			if hl := e.hostLoadOf(r.host.Instance); !r.host.Down || now.Sub(hl.downSince) < downHostWindow {
-				g.hosts = append(g.hosts, hl)
+				g.hosts, g.members = append(g.hosts, hl), append(g.members, r.host)
 			}
 		}
 	}
@@ -156,25 +155,6 @@
 	return e.services
 }
 
-// groupChange is when the hosts of a service last changed, and the digest that they have since.
-type groupChange struct {
-	digest uint64
-	at     time.Time
-}
-
-// updateGroupChanges records when each service's hosts last changed.
-func (e *Entry) updateGroupChanges(now time.Time) {
-	previous := e.groupChanges
-	e.groupChanges = make(map[string]groupChange, len(e.directory.byService))
-	for name, g := range e.directory.byService {
-		c, known := previous[name]
-		if !known || c.digest != g.Digest {
-			c = groupChange{digest: g.Digest, at: now}
-		}
-		e.groupChanges[name] = c
-	}
-}
-
 // mustAskOthers reports whether the search must have denials of the hosts of all services.
 func (s *search) mustAskOthers(now time.Time) bool {
 	return s.group.others != othersNone && (!s.group.complete || now.Sub(s.started) < planSettleTime)
@@ -222,8 +202,8 @@
 	s.scope = len(s.group.hosts)
 }
 
-// refreshSearch updates a search after the directory or the plan changed. It discards the answers of the services whose
-// hosts differ, because denials by earlier incarnations or by fewer hosts are not conclusive, and asks these hosts again.
+// refreshSearch updates a search after the directory or the plan changed. It asks the hosts that are new in the group or
+// whose targets have restarted. The denials of the others hold.
 func (e *Entry) refreshSearch(now time.Time, f gue.Flow, route *plan.Route, ef *entryFlow) {
 	s := ef.search
 	if s.group.directory == e.directory && s.group.plan == e.plan {
@@ -235,16 +215,11 @@
 		e.addOthers(now, f, &s.group)
 	}
 	s.answers = make([]answer, len(s.group.hosts))
-	changed := false
+	complete := true
 	for _, service := range s.group.services {
-		i := slices.IndexFunc(previous.services, func(o searchedService) bool { return o.name == service.name })
-		if i < 0 || previous.services[i].digest != service.digest {
-			changed = true
-			continue
-		}
-		s.copyAnswers(service, previous.services[i], &previous, answers)
+		complete = s.copyAnswers(service, &previous, answers) && complete
 	}
-	if changed {
+	if !complete {
 		s.scope, s.due = len(s.group.hosts), true
 		s.knownFrom, s.othersFrom = s.retries, s.retries
 		return
@@ -252,14 +227,21 @@
 	s.scope = min(s.scope, len(s.group.hosts))
 }
 
-// copyAnswers copies the answers of a service's hosts from an earlier group. Both groups hold the hosts in the same order,
-// but some may be left out.
-func (s *search) copyAnswers(service, from searchedService, previous *searchGroup, answers []answer) {
-	next := from.first
-	for i := service.first; i < service.end; i++ {
-		if k := slices.Index(previous.hosts[next:from.end], s.group.hosts[i]); k >= 0 {
-			s.answers[i] = answers[next+k]
-			next += k + 1
+// copyAnswers copies the answers of a service's hosts from an earlier group, apart from those of earlier incarnations of
+// their targets. It returns false if a host has no answer to copy.
+func (s *search) copyAnswers(service searchedService, previous *searchGroup, answers []answer) bool {
+	i := slices.IndexFunc(previous.services, func(o searchedService) bool { return o.name == service.name })
+	if i < 0 {
+		return false
+	}
+	from, all := previous.services[i], true
+	for k := service.first; k < service.end; k++ {
+		n := slices.Index(previous.hosts[from.first:from.end], s.group.hosts[k])
+		if n < 0 || !previous.members[from.first+n].Target.SameIncarnation(s.group.members[k].Target) {
+			all = false
+			continue
 		}
+		s.answers[k] = answers[from.first+n]
 	}
+	return all
 }
