The loss of a data centre is noticed by the others

Cause: agents exchanged with entries of their own data centre only. When it was lost with all of its entries, the entries elsewhere first had to find those silent and only then began to wait for the agents: the hosts of a lost data centre were not found down for more than 2.5 s, and flows on them were not reset.

--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -82,6 +82,7 @@
 			Packets: s.Packets, Control: s.Control, State: facts.StateServing, SynTrailer: true, RouteQuestions: true,
 		},
 		Routes: s.ControlRoutes, Store: components.Store, Format: components.Format, Logger: logger, Seeds: s.Entries,
+		Selection: peer.Selection{SpanDataCentres: s.TolerateDataCentres > 0},
 		OnMembers: a.onMembers, OnPlan: a.onPlan, OnRestore: a.restore,
 	}
 	dataplane.RegisterGauge("coltsfootline_flows", func() float64 {
--- a/agent/cmd/settings.go
+++ b/agent/cmd/settings.go
@@ -60,6 +60,9 @@
 	TargetListener netip.AddrPort `yaml:"targetListener"`
 	Outbound       netip.AddrPort `yaml:"outbound"`
 	Announcements  netip.AddrPort `yaml:"announcements"`
+	// TolerateDataCentres is how many data centres may be lost at once. If it is not 0, agents also exchange with an entry of
+	// another data centre. It must be the same on all instances. It is used only with a Form.
+	TolerateDataCentres int `yaml:"tolerateDataCentres"`
 }
 
 // Validate returns all violations in the settings.
@@ -108,6 +111,7 @@
 	v.RequireURL(s.Store, "store")
 	v.RequireAddress(s.Readiness, "readiness")
 	v.Require(strings.HasPrefix(s.ReadinessPath, "/"), "readinessPath", "a path")
+	v.Require(s.TolerateDataCentres >= 0, "tolerateDataCentres", "a number that is not negative")
 	v.RequireAddress(s.TargetPackets, "targetPackets")
 	v.RequireAddress(s.Outbound, "outbound")
 	v.RequireAddress(s.Announcements, "announcements")
--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -91,6 +91,7 @@
 			Packets: s.Packets, Control: s.Control, State: facts.StateServing,
 		},
 		Routes: s.ControlRoutes, Seeds: s.Peers, Store: components.Store, Format: components.Format, Logger: logger,
+		Selection: peer.Selection{SpanDataCentres: s.TolerateDataCentres > 0},
 		OnMembers: e.onMembers, OnPlan: e.onPlan,
 	}
 	dataplane.RegisterGauge("coltsfootline_flows", func() float64 { return float64(e.flowCount.Load()) })
--- a/entry/cmd/settings.go
+++ b/entry/cmd/settings.go
@@ -45,6 +45,9 @@
 	// FlowLifetime is the maximum age of a flow. A flow is reset only if the hosts of all services that a plan gave its
 	// route within that time deny it. 0 means a default. It is used only with a Form.
 	FlowLifetime time.Duration `yaml:"flowLifetime"`
+	// TolerateDataCentres is how many data centres may be lost at once. If it is not 0, agents also exchange with an entry of
+	// another data centre. It must be the same on all instances. It is used only with a Form.
+	TolerateDataCentres int `yaml:"tolerateDataCentres"`
 }
 
 // Validate returns all violations in the settings.
@@ -70,6 +73,7 @@
 		v.Require(strings.HasPrefix(s.ReadinessPath, "/"), "readinessPath", "a path")
 		v.RequireRegistered(flow.Codecs.Names(), s.Form, "form")
 		v.RequireRegistered(placement.FlowPolicies.Names(), s.Policy, "policy")
+		v.Require(s.TolerateDataCentres >= 0, "tolerateDataCentres", "a number that is not negative")
 		v.Require(s.LinkMbps >= 0, "linkMbps", "a number that is not negative")
 		v.Require(s.FlowLifetime >= 0, "flowLifetime", "a duration of 0s or more; 0s means 60s")
 		return v
--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -47,6 +47,8 @@
 	OnPlan func(p *plan.Plan)
 	// OnRestore is called with the member that the store holds for this instance from before its start. It may be nil.
 	OnRestore func(m facts.Member)
+	// Selection limits the number of peers.
+	Selection peer.Selection
 
 	Gossip    *peer.Gossip
 	Plans     *Plans
@@ -74,6 +76,7 @@
 		OnChange:       n.onChange,
 		DetectFailures: n.Self.Role == facts.RoleEntry,
 		Period:         exchangePeriod,
+		Selection:      n.Selection,
 		Plan:           n.Plans,
 	}
 	if n.Self.Role == facts.RoleAgent {
--- a/kernel/peer/choose.go
+++ b/kernel/peer/choose.go
@@ -25,12 +25,34 @@
 	hash       uint64
 }
 
-// ChoosePeers returns the control addresses of the entries that an instance exchanges with. It selects localPeerCount
-// entries in the instance's data centre and remotePeerCount entries in others by rendezvous hashing. An agent uses
-// other data centres only if its own has too few entries. A seed is a candidate until the entry at its address is known
-// as a member. Until then it counts as an entry of another data centre.
-func ChoosePeers(self facts.Member, seeds []netip.AddrPort, members []facts.Member) []netip.AddrPort {
-	return selectPeers(self, listCandidates(seeds, members))
+// ChoosePeers returns the control addresses of the entries that an instance exchanges with, by rendezvous hashing; s limits
+// their numbers. A seed is a candidate until the entry at its address is known as a member. Until then it counts as an
+// entry of another data centre.
+func (s Selection) ChoosePeers(self facts.Member, seeds []netip.AddrPort, members []facts.Member) []netip.AddrPort {
+	return s.selectPeers(self, listCandidates(seeds, members))
+}
+
+// Selection determines how many peers an instance has in its own data centre and in others. All instances of a fleet
+// must use the same value.
+type Selection struct {
+	// SpanDataCentres makes each agent exchange with an entry of another data centre. Without it, agents use other data
+	// centres only if their own has too few entries, and the loss of a data centre with all of its entries goes unnoticed
+	// by the others until these have failed to reach the entries and then waited for the agents.
+	SpanDataCentres bool
+}
+
+// counts returns how many entries of its own data centre and of others an instance exchanges with, given the number of
+// entries in its own.
+func (s Selection) counts(r facts.Role, available int) (local, remote int) {
+	local, total := localPeerCount, localPeerCount+remotePeerCount
+	if r == facts.RoleAgent {
+		total = localPeerCount
+		if s.SpanDataCentres {
+			local--
+		}
+	}
+	local = min(local, available)
+	return local, total - local
 }
 
 // listCandidates returns the serving entries and the seeds whose addresses belong to no known entry.
@@ -58,7 +80,7 @@
 }
 
 // selectPeers returns the control addresses of the candidates that an instance exchanges with.
-func selectPeers(self facts.Member, candidates []candidate) []netip.AddrPort {
+func (s Selection) selectPeers(self facts.Member, candidates []candidate) []netip.AddrPort {
 	selfHash := xxhash.Sum64String(self.Instance)
 	var local, remote topScores
 	for _, c := range candidates {
@@ -70,19 +92,8 @@
 			remote.add(c.address, score(selfHash, c.hash), localPeerCount+remotePeerCount)
 		}
 	}
-	remoteCount := remotePeersOf(self.Role, local.count)
-	return append(local.addresses(local.count), remote.addresses(min(remote.count, remoteCount))...)
-}
-
-// remotePeersOf returns how many entries of other data centres an instance exchanges with, given the number in its own.
-func remotePeersOf(r facts.Role, local int) int {
-	switch {
-	case r == facts.RoleAgent:
-		return localPeerCount - local
-	case local < localPeerCount:
-		return localPeerCount + remotePeerCount - local
-	}
-	return remotePeerCount
+	localCount, remoteCount := s.counts(self.Role, local.count)
+	return append(local.addresses(localCount), remote.addresses(min(remote.count, remoteCount))...)
 }
 
 // candidateIndex holds candidates by data centre.
@@ -103,18 +114,18 @@
 
 // isChosen reports whether selectPeers returns the candidate self for the member. It computes few of the scores that
 // selectPeers does, because most members have better candidates among the first ones.
-func (x candidateIndex) isChosen(self, member facts.Member) bool {
+func (x candidateIndex) isChosen(s Selection, self, member facts.Member) bool {
 	memberHash := xxhash.Sum64String(member.Instance)
 	selfScore := score(memberHash, xxhash.Sum64String(self.Control.String()))
 	local := x[member.DataCentre]
-	if self.DataCentre == member.DataCentre {
-		return countBetter(local, member.Control, memberHash, selfScore, localPeerCount) < localPeerCount
-	}
-	localCount := len(local)
+	available := len(local)
 	if slices.ContainsFunc(local, func(c candidate) bool { return c.address == member.Control }) {
-		localCount--
+		available--
+	}
+	localCount, limit := s.counts(member.Role, available)
+	if self.DataCentre == member.DataCentre {
+		return countBetter(local, member.Control, memberHash, selfScore, localCount) < localCount
 	}
-	limit := remotePeersOf(member.Role, min(localCount, localPeerCount))
 	better := 0
 	for dataCentre, candidates := range x {
 		if better < limit && dataCentre != member.DataCentre {
--- a/kernel/peer/choose_test.go
+++ b/kernel/peer/choose_test.go
@@ -40,7 +40,7 @@
 	}
 	for _, m := range all {
 		local, remote := 0, 0
-		for _, a := range ChoosePeers(m, nil, all) {
+		for _, a := range (Selection{}).ChoosePeers(m, nil, all) {
 			require.NotEqual(t, m.Control, a)
 			if dataCentre[a] == m.DataCentre {
 				local++
@@ -67,21 +67,37 @@
 		for _, self := range all[:entries] {
 			require.True(t, index.contains(self))
 			for _, m := range all {
-				if m.Instance != self.Instance {
-					require.Equal(t, slices.Contains(selectPeers(m, candidates), self.Control), index.isChosen(self, m))
+				for _, s := range []Selection{{}, {SpanDataCentres: true}} {
+					if m.Instance != self.Instance {
+						require.Equal(t, slices.Contains(s.selectPeers(m, candidates), self.Control), index.isChosen(s, self, m))
+					}
 				}
 			}
 		}
 	}
 }
 
+// Guards against hosts of a lost data centre that nobody finds silent, because all entries that they exchanged with were
+// lost with them. Flows on these hosts were told of their end only 3 s later.
+func TestAgentsOfALostDataCentreAreMissedByOthers(t *testing.T) {
+	all := testMembers(24, 60)
+	index := indexCandidates(listCandidates(nil, all))
+	for _, m := range all {
+		missed := slices.ContainsFunc(all, func(self facts.Member) bool {
+			return self.Role == facts.RoleEntry && self.DataCentre != m.DataCentre && index.isChosen(Selection{SpanDataCentres: true}, self, m)
+		})
+		require.True(t, missed, m.Instance)
+		require.Len(t, Selection{SpanDataCentres: true}.ChoosePeers(m, nil, all), len(Selection{}.ChoosePeers(m, nil, all)))
+	}
+}
+
 // TestPeerChoicesAreNotSymmetric checks that mutual choices are not much more frequent than by chance. Otherwise
 // groups of entries that only choose each other would be isolated.
 func TestPeerChoicesAreNotSymmetric(t *testing.T) {
 	all := testMembers(160, 0)
 	chosen := map[[2]netip.AddrPort]bool{}
 	for _, m := range all {
-		for _, a := range ChoosePeers(m, nil, all)[:localPeerCount] {
+		for _, a := range (Selection{}).ChoosePeers(m, nil, all)[:localPeerCount] {
 			chosen[[2]netip.AddrPort{m.Control, a}] = true
 		}
 	}
--- a/kernel/peer/failedPeers_test.go
+++ b/kernel/peer/failedPeers_test.go
@@ -25,7 +25,7 @@
 	agent := f.instances[3]
 	require.Equal(t, facts.RoleAgent, agent.Self.Role)
 	f.await(func() bool { return f.converged() && len(agent.View().Members) == 10 })
-	for _, a := range ChoosePeers(agent.Self, agent.Seeds, agent.View().Members) {
+	for _, a := range (Selection{}).ChoosePeers(agent.Self, agent.Seeds, agent.View().Members) {
 		agent.recordResult(a, context.DeadlineExceeded)
 	}
 	failed := agent.failedPeers(time.Now())
--- a/kernel/peer/gossip.go
+++ b/kernel/peer/gossip.go
@@ -60,6 +60,8 @@
 	// SeedDelay is how long after the start the seeds are not used, so that the instance can learn of other peers from the
 	// store. The seeds of a large fleet can't serve all instances that start together.
 	SeedDelay time.Duration
+	// Selection limits the number of peers.
+	Selection Selection
 	// Period is the interval between exchanges with each peer. 0 means exchangePeriod.
 	Period time.Duration
 	// Plan provides the version of the plan in use and receives the versions that peers report. It may be nil.
@@ -347,7 +349,7 @@
 	if now.Sub(g.started) < g.SeedDelay {
 		seeds = nil
 	}
-	chosen := ChoosePeers(g.Self, seeds, members)
+	chosen := g.Selection.ChoosePeers(g.Self, seeds, members)
 	failed := g.failedPeers(now)
 	isFailed := func(a netip.AddrPort) bool { return failed[a] }
 	if !slices.ContainsFunc(chosen, isFailed) {
@@ -355,7 +357,7 @@
 	}
 	remaining := slices.DeleteFunc(slices.Clone(members), func(m facts.Member) bool { return isFailed(m.Control) })
 	seeds = slices.DeleteFunc(slices.Clone(seeds), isFailed)
-	for _, a := range ChoosePeers(g.Self, seeds, remaining) {
+	for _, a := range g.Selection.ChoosePeers(g.Self, seeds, remaining) {
 		if !slices.Contains(chosen, a) {
 			chosen = append(chosen, a)
 		}
--- a/kernel/peer/view.go
+++ b/kernel/peer/view.go
@@ -83,7 +83,7 @@
 	selfListed := candidates.contains(g.Self)
 	for _, m := range members {
 		inactive := m.State == facts.StateDown || m.State == facts.StateLeft
-		if !inactive && selfListed && m.Instance != g.Self.Instance && candidates.isChosen(g.Self, m) {
+		if !inactive && selfListed && m.Instance != g.Self.Instance && candidates.isChosen(g.Selection, g.Self, m) {
 			g.expected[m.Instance] = true
 		}
 	}
