--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -209,11 +209,11 @@
 }
 
 // onMembers replaces the directory of hosts after a change of members. It runs on the control goroutine.
-func (a *passthroughAgent) onMembers(_ time.Time, members []facts.Member) {
+func (a *passthroughAgent) onMembers(now time.Time, members []facts.Member) {
 	d := flow.NewDirectory(members)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.flowAgent.SetDirectory(d)
+	a.flowAgent.SetDirectory(now, d)
 }
 
 // restore takes over the state of the target that the store holds from before the agent's start. It does nothing if the
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -62,9 +62,8 @@
 	// lastTargetPacket is when the target last sent a packet.
 	lastTargetPacket time.Time
 	// group is the service's group, as known to this agent, or nil. digest and hostsDigest hold the low 32 bits of its
-	// digests once knowsMembers is set, and 0 before.
-	group        *Group
-	knowsMembers bool
+	// digests, and 0 within membersTimeout of the start.
+	group *Group
 	digest       uint32
 	hostsDigest  uint32
 	flows        *simplelru.LRU[gue.Flow, *agentFlow]
@@ -128,14 +127,14 @@
 }
 
 // SetDirectory updates the digests that the agent reports with its answers.
-func (a *Agent) SetDirectory(d *Directory) {
+func (a *Agent) SetDirectory(now time.Time, d *Directory) {
 	a.group = d.Group(a.Service)
-	a.updateDigests()
+	a.updateDigests(now)
 }
 
-func (a *Agent) updateDigests() {
+func (a *Agent) updateDigests(now time.Time) {
 	a.digest, a.hostsDigest = 0, 0
-	if a.group != nil && a.knowsMembers {
+	if a.group != nil && now.Sub(a.started) >= membersTimeout {
 		a.digest, a.hostsDigest = uint32(a.group.Digest), uint32(a.group.HostsDigest)
 	}
 }
--- a/kernel/flow/hostSets_test.go
+++ b/kernel/flow/hostSets_test.go
@@ -24,7 +24,7 @@
 		h.startTarget()
 		tn.startAgent(h)
 		// The agent lists the members from data that is out of date.
-		h.agent.SetDirectory(NewDirectory([]facts.Member{h.member, tn.hosts[(i+1)%len(tn.hosts)].member}))
+		h.agent.SetDirectory(tn.now, NewDirectory([]facts.Member{h.member, tn.hosts[(i+1)%len(tn.hosts)].member}))
 		h.agent.sawAllSYNs = true
 	}
 }
@@ -79,7 +79,7 @@
 	e.directory.Listed = true
 	for _, h := range tn.hosts {
 		if h != holder {
-			h.agent.SetDirectory(e.directory)
+			h.agent.SetDirectory(tn.now, e.directory)
 		}
 	}
 	tn.dropPacket = func(to netip.AddrPort, hdr Header) bool {
--- a/kernel/flow/network_test.go
+++ b/kernel/flow/network_test.go
@@ -122,7 +122,7 @@
 // updateAgents gives all agents the directory of the first entry.
 func (tn *testNetwork) updateAgents() {
 	for _, h := range tn.hosts {
-		h.agent.SetDirectory(tn.entries[0].directory)
+		h.agent.SetDirectory(tn.now, tn.entries[0].directory)
 	}
 }
 
--- a/kernel/flow/probe.go
+++ b/kernel/flow/probe.go
@@ -41,10 +41,7 @@
 func (a *Agent) Sweep(now time.Time, out *Output) {
 	a.ensureInitialized(now)
 	a.expireHandshakes(now)
-	if !a.knowsMembers && now.Sub(a.started) >= membersTimeout {
-		a.knowsMembers = true
-		a.updateDigests()
-	}
+	a.updateDigests(now)
 	idleTimeout := defaultIdleTimeout
 	if a.plan != nil && a.plan.IdleTimeout > 0 {
 		idleTimeout = a.plan.IdleTimeout + idleMargin
