--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -79,9 +79,10 @@
 	a.node = &control.Node{
 		Self: facts.Member{
 			Instance: s.Instance, Role: facts.RoleAgent, DataCentre: s.DataCentre, Service: s.Service,
-			Packets: s.Packets, Control: s.Control, State: facts.StateServing,
+			Packets: s.Packets, Control: s.Control, State: facts.StateServing, SynTrailer: true, RouteQuestions: true,
 		},
 		Routes: s.ControlRoutes, Store: components.Store, Format: components.Format, Logger: logger, Seeds: s.Entries,
+		Selection: peer.Selection{SpanDataCentres: s.TolerateDataCentres > 0},
 		OnMembers: a.onMembers, OnPlan: a.onPlan, OnRestore: a.restore,
 	}
 	dataplane.RegisterGauge("coltsfootline_flows", func() float64 {
@@ -208,11 +209,11 @@
 }
 
 // onMembers replaces the directory of hosts after a change of members. It runs on the control goroutine.
-func (a *passthroughAgent) onMembers(_ time.Time, members []facts.Member) {
+func (a *passthroughAgent) onMembers(now time.Time, members []facts.Member) {
 	d := flow.NewDirectory(members)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.flowAgent.SetDirectory(d)
+	a.flowAgent.SetDirectory(now, d)
 }
 
 // restore takes over the state of the target that the store holds from before the agent's start. It does nothing if the
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -28,6 +28,9 @@
 	// bounceTimeout is the longest time that a target takes to bounce a packet. A target that has not bounced the
 	// packet by then holds the flow or held it before.
 	bounceTimeout = 60 * time.Millisecond
+	// membersTimeout is how long after its start an agent does not report which hosts it knows. It lists the members up to
+	// 0.6 s after its start, from data that may be out of date, and exchanges them with an entry every 0.4 s.
+	membersTimeout = time.Second
 	// closedTimeout is how long a flow is remembered that ended at the target or whose state is unknown.
 	closedTimeout = 3 * time.Second
 )
@@ -58,9 +61,14 @@
 	liveness   liveness
 	// lastTargetPacket is when the target last sent a packet.
 	lastTargetPacket time.Time
-	// digest holds the low 32 bits of the digest of the service's group, as known to this agent.
-	digest uint32
-	flows  *simplelru.LRU[gue.Flow, *agentFlow]
+	// group is the service's group, as known to this agent, or nil. digest and hostsDigest hold the low 32 bits of its
+	// digests, and 0 within membersTimeout of the start.
+	group *Group
+	digest       uint32
+	hostsDigest  uint32
+	flows        *simplelru.LRU[gue.Flow, *agentFlow]
+	// trackedRoutes holds the addresses of all flows that were tracked since none last was.
+	trackedRoutes map[gue.Endpoint]bool
 	// busyCount is the number of flows that count as load: those with an unfinished handshake or an unanswered request.
 	busyCount int
 	// handshakes holds the recently opened flows, oldest first.
@@ -118,11 +126,16 @@
 	}
 }
 
-// SetDirectory updates the digest that the agent reports with its answers.
-func (a *Agent) SetDirectory(d *Directory) {
-	a.digest = 0
-	if g := d.Group(a.Service); g != nil {
-		a.digest = uint32(g.Digest)
+// SetDirectory updates the digests that the agent reports with its answers.
+func (a *Agent) SetDirectory(now time.Time, d *Directory) {
+	a.group = d.Group(a.Service)
+	a.updateDigests(now)
+}
+
+func (a *Agent) updateDigests(now time.Time) {
+	a.digest, a.hostsDigest = 0, 0
+	if a.group != nil && now.Sub(a.started) >= membersTimeout {
+		a.digest, a.hostsDigest = uint32(a.group.Digest), uint32(a.group.HostsDigest)
 	}
 }
 
@@ -177,6 +190,7 @@
 // HandleEntryPacket handles a packet from an entry.
 func (a *Agent) HandleEntryPacket(now time.Time, from netip.AddrPort, packet []byte, out *Output) {
 	a.ensureInitialized(now)
+	packet, service := a.Codec.SplitTrailer(packet)
 	hdr, reason := a.Codec.Parse(packet)
 	if reason != gue.ReasonNone {
 		out.DropReason = reason
@@ -187,12 +201,12 @@
 		return
 	}
 	if hdr.Mark.Code == CodeAsk {
-		a.handleQuestion(from, packet, out)
+		a.handleQuestion(from, packet, hdr.Mark.Value, out)
 		return
 	}
 	f := hdr.FlowFromCaller()
 	if hdr.SYN {
-		a.handleSYN(now, from, f, packet, &hdr, out)
+		a.handleSYN(now, from, f, service, packet, &hdr, out)
 		return
 	}
 	a.handleEstablished(now, from, f, packet, &hdr, out)
--- a/kernel/flow/knowledge.go
+++ b/kernel/flow/knowledge.go
@@ -40,25 +40,37 @@
 
 // track adds a flow. If an older one has to make room, the agent no longer knows all flows of its target.
 func (a *Agent) track(f gue.Flow, af *agentFlow) {
+	if a.trackedRoutes == nil {
+		a.trackedRoutes = make(map[gue.Endpoint]bool)
+	}
+	a.trackedRoutes[f.Service] = true
 	if a.flows.Add(f, af) {
 		a.sawAllSYNs = false
 	}
 }
 
-// handleQuestion answers an entry's question which of some flows the target holds.
-func (a *Agent) handleQuestion(from netip.AddrPort, packet []byte, out *Output) {
+// handleQuestion answers an entry's question which of some flows the target holds. The question's form tells which digest
+// the entry expects; entries of earlier builds expect that of the hosts and their targets' incarnations.
+func (a *Agent) handleQuestion(from netip.AddrPort, packet []byte, form uint32, out *Output) {
 	data, ok := appendAnswers(nil, a.Codec.Data(packet), a.answerFor)
 	if !ok {
 		out.DropReason = gue.ReasonTag
 		return
 	}
 	reply := a.Codec.EncodeMessage(data)
-	a.Codec.SetMark(reply, Mark{Code: CodeAnswers, Value: a.digest})
+	digest := a.digest
+	if form == questionFormHosts {
+		digest = a.hostsDigest
+	}
+	a.Codec.SetMark(reply, Mark{Code: CodeAnswers, Value: digest})
 	out.send(from, reply)
 }
 
-// answerFor returns what the agent knows about a flow.
+// answerFor returns what the agent knows about a flow, or about a route if the flow stands for one.
 func (a *Agent) answerFor(f gue.Flow) answer {
+	if f == routeFlow(f.Service) {
+		return a.answerForRoute(f.Service)
+	}
 	af, known := a.flows.Peek(f)
 	switch {
 	case known && (af.state == stateOpen || af.state == stateClosed):
--- a/kernel/flow/network_test.go
+++ b/kernel/flow/network_test.go
@@ -99,7 +99,7 @@
 }
 
 func (tn *testNetwork) startAgent(h *testHost) {
-	h.agent = &Agent{Self: h.member.Packets, Service: "s", Target: targetAddress(h), Codec: testCodec{}}
+	h.agent = &Agent{Self: h.member.Packets, Service: h.member.Service, Target: targetAddress(h), Codec: testCodec{}}
 	h.agent.SetPlan(tn.plan)
 	var out Output
 	h.agent.UpdateTarget(tn.now, *h.member.Target, true, &out)
@@ -122,7 +122,7 @@
 // updateAgents gives all agents the directory of the first entry.
 func (tn *testNetwork) updateAgents() {
 	for _, h := range tn.hosts {
-		h.agent.SetDirectory(tn.entries[0].directory)
+		h.agent.SetDirectory(tn.now, tn.entries[0].directory)
 	}
 }
 
--- a/kernel/flow/probe.go
+++ b/kernel/flow/probe.go
@@ -41,10 +41,14 @@
 func (a *Agent) Sweep(now time.Time, out *Output) {
 	a.ensureInitialized(now)
 	a.expireHandshakes(now)
+	a.updateDigests(now)
 	idleTimeout := defaultIdleTimeout
 	if a.plan != nil && a.plan.IdleTimeout > 0 {
 		idleTimeout = a.plan.IdleTimeout + idleMargin
 	}
+	if a.flows.Len() == 0 {
+		clear(a.trackedRoutes)
+	}
 	for _, f := range a.flows.Keys() {
 		af, _ := a.flows.Peek(f)
 		age := now.Sub(af.lastPacket)
