--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -63,10 +63,10 @@
 	lastTargetPacket time.Time
 	// group is the service's group, as known to this agent, or nil. digest and hostsDigest hold the low 32 bits of its
 	// digests, and 0 within membersTimeout of the start.
-	group *Group
-	digest       uint32
-	hostsDigest  uint32
-	flows        *simplelru.LRU[gue.Flow, *agentFlow]
+	group       *Group
+	digest      uint32
+	hostsDigest uint32
+	flows       *simplelru.LRU[gue.Flow, *agentFlow]
 	// trackedRoutes holds the addresses of all flows that were tracked since none last was.
 	trackedRoutes map[gue.Endpoint]bool
 	// busyCount is the number of flows that count as load: those with an unfinished handshake or an unanswered request.
