Evacuations of data centres

The operator could not take a data centre out of use: nothing kept entries from placing new flows on its hosts.

With the setting evacuations, the instances that watch the plan also list and watch the platform's kind for evacuations and publish a fact per data centre. Hosts of an evacuated data centre are not placeable but stay in their groups, so that searches still ask them. Agents there refuse new flows (CodeRefused, reason evacuated). An entry that has just started places no flow and is not ready until it has listed the kind or completed an exchange with a peer that knows it. A service whose only hosts are evacuated is refused at once with a reset. The order of a flow puts hosts of other data centres first where the entry's own is evacuated; without evacuations it is unchanged.

Two changes of existing tests: testFormat implements the new method EvacuationsKind, and the callback OnMembers has one more argument.

--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -82,7 +82,8 @@
 			Packets: s.Packets, Control: s.Control, State: facts.StateServing,
 		},
 		Routes: s.ControlRoutes, Store: components.Store, Format: components.Format, Logger: logger, Seeds: s.Entries,
-		OnMembers: a.onMembers, OnPlan: a.onPlan, OnRestore: a.restore,
+		FollowEvacuations: s.Evacuations,
+		OnMembers:         a.onMembers, OnPlan: a.onPlan, OnRestore: a.restore,
 	}
 	dataplane.RegisterGauge("coltsfootline_flows", func() float64 {
 		a.mutex.Lock()
@@ -207,12 +208,13 @@
 	a.node.Gossip.Do(context.Background(), func(now time.Time) { a.node.Gossip.SetTarget(now, t) })
 }
 
-// onMembers replaces the directory of hosts after a change of members. It runs on the control goroutine.
-func (a *passthroughAgent) onMembers(_ time.Time, members []facts.Member) {
+// onMembers replaces the directory of hosts after a change of members or evacuations. It runs on the control goroutine.
+func (a *passthroughAgent) onMembers(now time.Time, members []facts.Member, evacuations facts.Evacuations) {
 	d := flow.NewDirectory(members)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.flowAgent.SetDirectory(d)
+	a.flowAgent.SetEvacuated(now, evacuations.Active[a.settings.DataCentre])
 }
 
 // restore takes over the state of the target that the store holds from before the agent's start. It does nothing if the
--- a/agent/cmd/settings.go
+++ b/agent/cmd/settings.go
@@ -60,6 +60,8 @@
 	TargetListener netip.AddrPort `yaml:"targetListener"`
 	Outbound       netip.AddrPort `yaml:"outbound"`
 	Announcements  netip.AddrPort `yaml:"announcements"`
+	// Evacuations makes the agent refuse new flows while its data centre is evacuated. It is used only with a Form.
+	Evacuations bool `yaml:"evacuations"`
 }
 
 // Validate returns all violations in the settings.
--- a/coltsfootline/cmd/commands_test.go
+++ b/coltsfootline/cmd/commands_test.go
@@ -31,6 +31,8 @@
 	called []string
 	plan   *plan.Plan
 	trail  audit.Trail
+	// evacuations is the reply of the entry. Its facts contain the same evacuations.
+	evacuations control.EvacuationsReply
 }
 
 func newFakeInstances(t *testing.T) *fakeInstances {
@@ -69,6 +71,8 @@
 		reply = f.find(to)
 	case control.MethodAudit:
 		reply = control.AuditReply{Trail: f.trail}
+	case control.MethodEvacuations:
+		reply = f.evacuations
 	}
 	text, err := json.Marshal(reply)
 	require.NoError(f.t, err)
@@ -96,6 +100,11 @@
 		require.NoError(f.t, err)
 		reply.Facts = append(reply.Facts, fact)
 	}
+	for _, e := range f.evacuations.Evacuations {
+		fact, err := e.Fact()
+		require.NoError(f.t, err)
+		reply.Facts = append(reply.Facts, fact)
+	}
 	return reply
 }
 
--- a/coltsfootline/cmd/hostsCmd.go
+++ b/coltsfootline/cmd/hostsCmd.go
@@ -39,14 +39,18 @@
 	if err != nil {
 		return err
 	}
-	all, err := fetchMembers(cmd.Context(), h.client, entry)
+	received, err := fetchFacts(cmd.Context(), h.client, entry)
 	if err != nil {
 		return err
 	}
-	all = slices.DeleteFunc(all, func(m facts.Member) bool {
+	all, err := listHosts(received)
+	if err != nil {
+		return err
+	}
+	all = slices.DeleteFunc(all, func(m listedHost) bool {
 		return m.Role != facts.RoleAgent || h.service != "" && m.Service != h.service
 	})
-	slices.SortFunc(all, func(a, b facts.Member) int {
+	slices.SortFunc(all, func(a, b listedHost) int {
 		return strings.Compare(a.Service+"\x00"+a.Instance, b.Service+"\x00"+b.Instance)
 	})
 	if h.json {
@@ -55,8 +59,41 @@
 	return printHosts(cmd.OutOrStdout(), all)
 }
 
+// listedHost is an agent in the output of the command.
+type listedHost struct {
+	facts.Member
+
+	// Evacuated reports whether the agent's data centre is evacuated.
+	Evacuated bool `json:"evacuated,omitempty"`
+}
+
+// listHosts returns the members among the facts, and whether their data centres are evacuated.
+func listHosts(received []facts.Fact) ([]listedHost, error) {
+	members, err := decodeMembers(received)
+	if err != nil {
+		return nil, err
+	}
+	var evacuations []facts.Evacuation
+	for _, f := range received {
+		if f.Kind != facts.KindEvacuation {
+			continue
+		}
+		e, err := facts.DecodeEvacuation(f)
+		if err != nil {
+			return nil, err
+		}
+		evacuations = append(evacuations, e)
+	}
+	evacuated := facts.EvacuationsOf(evacuations, true).Active
+	all := make([]listedHost, 0, len(members))
+	for _, m := range members {
+		all = append(all, listedHost{Member: m, Evacuated: evacuated[m.DataCentre]})
+	}
+	return all, nil
+}
+
 // printHosts prints a table of agents with their targets. An agent that knows no target has "-" instead.
-func printHosts(w io.Writer, all []facts.Member) error {
+func printHosts(w io.Writer, all []listedHost) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(t, "SERVICE\tAGENT\tDATA CENTRE\tAGENT STATE\tTARGET\tTARGET STATE\tSLOTS\tPACKETS")
 	for _, m := range all {
@@ -64,8 +101,12 @@
 		if m.Target != nil {
 			target = *m.Target
 		}
+		dataCentre := m.DataCentre
+		if m.Evacuated {
+			dataCentre += " (evacuated)"
+		}
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\n",
-			m.Service, m.Instance, m.DataCentre, m.State, target.ID, target.State, target.Slots, m.Packets)
+			m.Service, m.Instance, dataCentre, m.State, target.ID, target.State, target.Slots, m.Packets)
 	}
 	return t.Flush()
 }
--- a/coltsfootline/cmd/root.go
+++ b/coltsfootline/cmd/root.go
@@ -38,6 +38,7 @@
 		newStatusCmd(c),
 		newPlanCmd(c),
 		newHostsCmd(c),
+		newEvacuationsCmd(c),
 		newFlowsCmd(c),
 		newDrainCmd(c),
 		newDoctorCmd(c),
@@ -76,16 +77,30 @@
 	return a, nil
 }
 
-// fetchMembers calls an entry for all facts and returns the members among them.
-func fetchMembers(ctx context.Context, c ControlClient, entry netip.AddrPort) ([]facts.Member, error) {
+// fetchFacts calls an entry for all facts.
+func fetchFacts(ctx context.Context, c ControlClient, entry netip.AddrPort) ([]facts.Fact, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var reply peer.ReconcileReply
 	if err := c.Call(ctx, entry, peer.MethodReconcile, peer.ReconcileRequest{Partitions: facts.AllPartitions()}, &reply); err != nil {
 		return nil, err
 	}
+	return reply.Facts, nil
+}
+
+// fetchMembers calls an entry for all facts and returns the members among them.
+func fetchMembers(ctx context.Context, c ControlClient, entry netip.AddrPort) ([]facts.Member, error) {
+	received, err := fetchFacts(ctx, c, entry)
+	if err != nil {
+		return nil, err
+	}
+	return decodeMembers(received)
+}
+
+// decodeMembers returns the members among the facts.
+func decodeMembers(received []facts.Fact) ([]facts.Member, error) {
 	var all []facts.Member
-	for _, f := range reply.Facts {
+	for _, f := range received {
 		if f.Kind != facts.KindMember {
 			continue
 		}
--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -91,7 +91,8 @@
 			Packets: s.Packets, Control: s.Control, State: facts.StateServing,
 		},
 		Routes: s.ControlRoutes, Seeds: s.Peers, Store: components.Store, Format: components.Format, Logger: logger,
-		OnMembers: e.onMembers, OnPlan: e.onPlan,
+		FollowEvacuations: s.Evacuations,
+		OnMembers:         e.onMembers, OnPlan: e.onPlan,
 	}
 	dataplane.RegisterGauge("coltsfootline_flows", func() float64 { return float64(e.flowCount.Load()) })
 	return e.process.Run(ctx, e.serve)
@@ -189,9 +190,9 @@
 	e.recorder.Record(now, &e.output, dataplane.SendAll(e.socket, &e.output))
 }
 
-// onMembers replaces the directory of hosts after a change of members. It runs on the control goroutine.
-func (e *passthroughEntry) onMembers(_ time.Time, members []facts.Member) {
-	d := flow.NewDirectory(members)
+// onMembers replaces the directory of hosts after a change of members or evacuations. It runs on the control goroutine.
+func (e *passthroughEntry) onMembers(_ time.Time, members []facts.Member, evacuations facts.Evacuations) {
+	d := flow.NewDirectoryWithEvacuations(members, evacuations)
 	e.logConflicts(d.Conflicts)
 	e.directory.Store(d)
 	e.updateReady()
@@ -216,10 +217,12 @@
 	e.updateReady()
 }
 
-// updateReady reports ready if there is a plan and a host that can take new flows, unless the entry shuts down.
+// updateReady reports ready if there is a plan and a host that can take new flows, unless the entry shuts down. If all
+// hosts are evacuated, the entry is ready, too: it forwards their open flows and refuses new ones.
 func (e *passthroughEntry) updateReady() {
 	d := e.directory.Load()
-	e.process.SetReady(!e.shuttingDown.Load() && e.plan.Load() != nil && d != nil && d.PlaceableCount() > 0)
+	hasHosts := d != nil && d.PlaceableCount()+d.EvacuatedCount() > 0
+	e.process.SetReady(!e.shuttingDown.Load() && e.plan.Load() != nil && hasHosts)
 }
 
 func (e *passthroughEntry) status(context.Context, peer.StatusRequest) (peer.StatusReply, error) {
--- a/entry/cmd/settings.go
+++ b/entry/cmd/settings.go
@@ -41,6 +41,8 @@
 	// LinkMbps is the capacity of the network link in Mbit/s. Searches use a part of it. 0 means that it is unknown. It is
 	// used only with a Form.
 	LinkMbps float64 `yaml:"linkMbps"`
+	// Evacuations makes the entry place no new flows on the hosts of evacuated data centres. It is used only with a Form.
+	Evacuations bool `yaml:"evacuations"`
 }
 
 // Validate returns all violations in the settings.
--- /dev/null
+++ b/kernel/control/evacuations_test.go
@@ -0,0 +1,89 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/store"
+)
+
+// Guards against waits after which an acknowledged evacuation is no longer in force in time: a watch that misses a change,
+// the pause after its failure and a slow listing must leave time for the facts to spread.
+func TestEvacuationIsReadWithinBound(t *testing.T) {
+	const bound, spread = 5 * time.Second, 500 * time.Millisecond
+	require.Less(t, evacuationWatchTimeout+store.WatchMargin+minRetryDelay+1500*time.Millisecond+spread, bound)
+}
+
+func object(name string, revision uint64, deleted bool) store.Object {
+	return store.Object{Name: name, Revision: revision, Deleted: deleted}
+}
+
+func active(name string, revision uint64) facts.Evacuation {
+	return facts.Evacuation{DataCentre: name, Active: true, Revision: revision}
+}
+
+func ended(name string, revision uint64) facts.Evacuation {
+	return facts.Evacuation{DataCentre: name, Revision: revision}
+}
+
+func TestEvacuationIsPlacedAndRemoved(t *testing.T) {
+	var s evacuationState
+	s.applyList(store.Page{Revision: 5})
+	require.Empty(t, s.corrections(nil))
+	s.applyChanges(store.Page{Objects: []store.Object{object("north", 7, false)}})
+	require.Equal(t, []facts.Evacuation{active("north", 7)}, s.corrections(nil))
+	known := []facts.Evacuation{active("north", 7)}
+	require.Empty(t, s.corrections(known))
+	s.applyChanges(store.Page{Objects: []store.Object{object("north", 9, true)}})
+	require.Equal(t, []facts.Evacuation{ended("north", 9)}, s.corrections(known))
+	require.Empty(t, s.corrections([]facts.Evacuation{ended("north", 9)}))
+}
+
+// Guards against an end that the fact of the beginning supersedes, if the store reports a deletion with the revision that
+// the object had.
+func TestDeletionSupersedesObjectWithSameRevision(t *testing.T) {
+	var s evacuationState
+	s.applyChanges(store.Page{Objects: []store.Object{object("north", 7, false), object("north", 7, true)}})
+	require.Equal(t, []facts.Evacuation{ended("north", 8)}, s.corrections([]facts.Evacuation{active("north", 7)}))
+}
+
+// Guards against an evacuation that never ends because its deletion was in the lost history. The reader, and one that
+// knows of the evacuation only from peers, see it from the listing.
+func TestDeletionIsSeenInListingAfterLostHistory(t *testing.T) {
+	known := []facts.Evacuation{active("north", 7)}
+	var reader, other evacuationState
+	reader.applyList(store.Page{Revision: 7, Objects: []store.Object{object("north", 7, false)}})
+	for _, s := range []*evacuationState{&reader, &other} {
+		s.applyList(store.Page{Revision: 12})
+		require.Equal(t, []facts.Evacuation{ended("north", 12)}, s.corrections(known))
+	}
+	require.Equal(t, []facts.Evacuation{active("north", 20)}, reader.withListing(20, "north").corrections([]facts.Evacuation{ended("north", 12)}))
+}
+
+func (s *evacuationState) withListing(revision uint64, name string) *evacuationState {
+	s.applyList(store.Page{Revision: revision, Objects: []store.Object{object(name, revision, false)}})
+	return s
+}
+
+// Guards against an instance that was cut off while an evacuation ended and brings it back to a fleet that has restarted.
+func TestOlderFactThatArrivesLateIsContradicted(t *testing.T) {
+	var s evacuationState
+	s.applyList(store.Page{Revision: 100})
+	late := []facts.Evacuation{active("north", 50)}
+	require.Equal(t, []facts.Evacuation{ended("north", 100)}, s.corrections(late))
+	require.Empty(t, s.corrections([]facts.Evacuation{active("north", 101)}), "placed after the listing")
+	s.applyChanges(store.Page{Objects: []store.Object{object("north", 110, false), object("north", 120, true)}})
+	require.Equal(t, []facts.Evacuation{ended("north", 120)}, s.corrections([]facts.Evacuation{active("north", 110)}))
+	require.Empty(t, s.corrections([]facts.Evacuation{active("north", 130)}), "placed again")
+}
+
+// Guards against an evacuation that a wrong fact of its end suspends while its object is in the store.
+func TestListedObjectContradictsFactOfEnd(t *testing.T) {
+	var s evacuationState
+	s.applyList(store.Page{Revision: 100, Objects: []store.Object{object("north", 7, false)}})
+	require.Equal(t, []facts.Evacuation{active("north", 100)}, s.corrections([]facts.Evacuation{ended("north", 60)}))
+	require.Empty(t, s.corrections([]facts.Evacuation{ended("north", 101)}), "another reader saw the deletion first")
+}
--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -41,8 +41,10 @@
 	Store  *store.Client
 	Format plan.Format
 	Logger *slog.Logger
-	// OnMembers is called on the control goroutine after each change of the membership.
-	OnMembers func(now time.Time, members []facts.Member)
+	// FollowEvacuations makes the instance read the evacuations of data centres, or learn them from peers.
+	FollowEvacuations bool
+	// OnMembers is called on the control goroutine after each change of the membership or of the evacuations.
+	OnMembers func(now time.Time, members []facts.Member, evacuations facts.Evacuations)
 	// OnPlan is called with each newer plan.
 	OnPlan func(p *plan.Plan)
 	// OnRestore is called with the member that the store holds for this instance from before its start. It may be nil.
@@ -52,9 +54,11 @@
 	Plans     *Plans
 	Registrar *Registrar
 	Auditor   *Auditor
-	pool      *peer.Pool
-	started   time.Time
-	members   atomic.Pointer[[]facts.Member]
+	// Evacuations is nil unless FollowEvacuations is set.
+	Evacuations *Evacuations
+	pool        *peer.Pool
+	started     time.Time
+	members     atomic.Pointer[[]facts.Member]
 }
 
 // Start connects the instance to the fleet until ctx is cancelled. The given handlers are served in addition to the
@@ -84,9 +88,15 @@
 	if n.Self.Role == facts.RoleEntry {
 		n.Auditor = &Auditor{Store: n.Store, Logger: n.Logger, Self: n.Self.Instance, IsWriter: n.isAuditWriter}
 	}
+	if n.FollowEvacuations {
+		n.Evacuations = &Evacuations{
+			Store: n.Store, Kind: n.Format.EvacuationsKind(), Gossip: n.Gossip, Logger: n.Logger, ShouldRead: n.shouldReadEvacuations,
+		}
+	}
 	n.Gossip.OnSelfPublished = n.Registrar.MarkChanged
 	all := n.Gossip.Handlers()
 	maps.Copy(all, n.Plans.Handlers())
+	maps.Copy(all, n.evacuationHandlers())
 	if n.Auditor != nil {
 		maps.Copy(all, n.Auditor.Handlers())
 	}
@@ -101,6 +111,9 @@
 	}
 	n.Registrar.Start(ctx)
 	n.Plans.Start(ctx)
+	if n.Evacuations != nil {
+		n.Evacuations.Start(ctx)
+	}
 	if n.Auditor != nil {
 		n.Auditor.Start(ctx)
 	}
@@ -108,13 +121,16 @@
 	return nil
 }
 
-// onChange passes the members of a new view to the auditor and to OnMembers. It runs on the control goroutine.
+// onChange passes the members and evacuations of a new view to the auditor and to OnMembers. It runs on the control goroutine.
 func (n *Node) onChange(now time.Time, v *peer.View) {
 	n.members.Store(&v.Members)
 	if n.Auditor != nil {
 		n.Auditor.RecordMembers(now, v.Members)
 	}
-	n.OnMembers(now, v.Members)
+	if n.Evacuations != nil {
+		n.Evacuations.report(v)
+	}
+	n.OnMembers(now, v.Members, n.evacuations(v))
 }
 
 // activatePlan calls OnPlan with a newer plan and pushes its version to peers, which is faster than waiting for
--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -23,7 +23,8 @@
 // the SYN to the entry.
 func (a *Agent) handleSYN(now time.Time, from netip.AddrPort, f gue.Flow, packet []byte, hdr *Header, out *Output) {
 	af, known := a.flows.Get(f)
-	if known && af.state != stateClosed {
+	// While the host is evacuated, the SYN of a caller that closed the flow is a new flow.
+	if known && af.state != stateClosed && (!a.evacuated || !af.callerClosed) {
 		af.lastPacket = now
 		a.expectSYNACK(now)
 		a.sendToTarget(from.Addr(), packet, out)
@@ -58,6 +59,8 @@
 		return CodeRefused, "noTarget"
 	case a.leaving:
 		return CodeRefused, "leaving"
+	case a.evacuated:
+		return CodeRefused, "evacuated"
 	case a.liveness.absent:
 		return CodeRefused, "targetAbsent"
 	case a.target.State != facts.TargetReady:
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -52,6 +52,8 @@
 	started       time.Time
 	// leaving is set by RefuseNewFlows.
 	leaving bool
+	// evacuated is set while the host's data centre is evacuated.
+	evacuated bool
 	// sawAllSYNs is set if the agent has seen every SYN that the target's present incarnation has received, so that the
 	// target holds no other flows than the agent tracks.
 	sawAllSYNs bool
@@ -144,6 +146,11 @@
 	}
 }
 
+// SetEvacuated tells the agent whether its data centre is evacuated. While it is, the agent refuses all new flows.
+func (a *Agent) SetEvacuated(_ time.Time, evacuated bool) {
+	a.evacuated = evacuated
+}
+
 // RefuseNewFlows makes the agent refuse all new flows from now on.
 func (a *Agent) RefuseNewFlows() {
 	a.leaving = true
--- a/kernel/flow/directory.go
+++ b/kernel/flow/directory.go
@@ -23,6 +23,8 @@
 	Target facts.Target
 	// Placeable reports whether new flows may be placed on the host.
 	Placeable bool
+	// Evacuated reports whether the host's data centre is evacuated.
+	Evacuated bool
 	// Down reports whether the other members consider the instance dead because it does not respond.
 	Down bool
 
@@ -34,6 +36,9 @@
 	Hosts []*Host
 	// Placeable is the number of hosts that new flows may be placed on.
 	Placeable int
+	// evacuated is the number of hosts in evacuated data centres that would be placeable otherwise, and available the
+	// number of hosts in other data centres that take new flows or may soon do so.
+	evacuated, available int
 	// Digest is a hash of the hosts and their targets' incarnations. Groups with equal digests are taken to be equal.
 	Digest uint64
 }
@@ -42,7 +47,8 @@
 type Directory struct {
 	byService map[string]*Group
 	byAddress map[netip.Addr]*Host
-	placeable int
+	// placeable and evacuated are the sums over all groups.
+	placeable, evacuated int
 	// Conflicts holds the agents that are left out because another one holds their address.
 	Conflicts []facts.AddressConflict
 }
@@ -50,6 +56,13 @@
 // NewDirectory returns the directory of the given members. Of several agents with one packet address, it contains only
 // the one that holds the address.
 func NewDirectory(members []facts.Member) *Directory {
+	return NewDirectoryWithEvacuations(members, facts.Evacuations{})
+}
+
+// NewDirectoryWithEvacuations returns the directory of the given members. No host of an evacuated data centre is
+// placeable, and none at all while the evacuations are unknown. Hosts that are not placeable may still hold flows, so the
+// digests of the groups do not depend on evacuations.
+func NewDirectoryWithEvacuations(members []facts.Member, evacuations facts.Evacuations) *Directory {
 	d := &Directory{byService: map[string]*Group{}, byAddress: map[netip.Addr]*Host{}}
 	var holders map[netip.Addr]facts.Member
 	holders, d.Conflicts = facts.ResolveAddresses(members)
@@ -63,12 +76,17 @@
 			Service:    m.Service,
 			Packets:    m.Packets,
 			Down:       m.State == facts.StateDown,
+			Evacuated:  evacuations.Active[m.DataCentre],
 			nameHash:   xxhash.Sum64String(m.Instance),
 		}
 		if m.Target != nil {
 			h.Target = *m.Target
 			h.Placeable = m.State == facts.StateServing && m.Target.State == facts.TargetReady
 		}
+		if !evacuations.Unknown {
+			d.countAvailability(h, m)
+		}
+		h.Placeable = h.Placeable && !h.Evacuated && !evacuations.Unknown
 		d.add(h)
 	}
 	for _, g := range d.byService {
@@ -85,12 +103,36 @@
 	return m.Role == facts.RoleAgent && m.State != facts.StateLeft && (m.Target == nil || m.Target.State != facts.TargetGone)
 }
 
-func (d *Directory) add(h *Host) {
-	g := d.byService[h.Service]
+// groupOf returns the group of a service, which it creates if needed.
+func (d *Directory) groupOf(service string) *Group {
+	g := d.byService[service]
 	if g == nil {
 		g = &Group{}
-		d.byService[h.Service] = g
+		d.byService[service] = g
+	}
+	return g
+}
+
+// countAvailability counts a host for Group.onlyEvacuated. An agent that serves without a target has just started, and its
+// target may be ready at any time.
+func (d *Directory) countAvailability(h *Host, m facts.Member) {
+	g := d.groupOf(h.Service)
+	switch {
+	case !h.Evacuated && (h.Placeable || m.State == facts.StateServing && m.Target == nil):
+		g.available++
+	case h.Evacuated && h.Placeable:
+		g.evacuated++
+		d.evacuated++
 	}
+}
+
+// onlyEvacuated reports whether new flows can't be placed because the hosts are in evacuated data centres.
+func (g *Group) onlyEvacuated() bool {
+	return g.evacuated > 0 && g.available == 0
+}
+
+func (d *Directory) add(h *Host) {
+	g := d.groupOf(h.Service)
 	g.Hosts = append(g.Hosts, h)
 	d.byAddress[h.Packets.Addr()] = h
 	if h.Placeable {
@@ -122,6 +164,12 @@
 	return d.placeable
 }
 
+// EvacuatedCount returns the number of hosts that new flows may be placed on as soon as their data centres are no longer
+// evacuated.
+func (d *Directory) EvacuatedCount() int {
+	return d.evacuated
+}
+
 const (
 	// localCandidates and remoteCandidates are how many hosts of the entry's own data centre and of others come first in
 	// the order of a flow. Placement chooses among them, and a search asks them first.
@@ -132,6 +180,10 @@
 // rank orders the hosts for a flow, most likely holder first. It reuses the memory of buffer. The order follows from
 // rendezvous hashing: first localCandidates hosts of the given data centre and remoteCandidates of others, then the
 // rest. All entries of a data centre, which receive the packets of the same callers, get the same order.
+//
+// Evacuated hosts of other data centres are not among the first. If the given data centre is evacuated, maxCandidates hosts
+// of others come first, because placement chooses among them, and then localCandidates of its own, which may hold older
+// flows.
 func (g *Group) rank(f gue.Flow, dataCentre string, buffer []rankedHost) []rankedHost {
 	buffer = buffer[:0]
 	key := f.Hash(gue.Key{})
@@ -139,15 +191,20 @@
 		buffer = append(buffer, rankedHost{host: h, score: fmix64(key ^ h.nameHash)})
 	}
 	slices.SortFunc(buffer, rankedHost.compare)
+	remoteLimit := remoteCandidates
+	if slices.ContainsFunc(g.Hosts, func(h *Host) bool { return h.Evacuated && h.DataCentre == dataCentre }) {
+		remoteLimit = maxCandidates
+	}
 	local, remote := 0, 0
 	for i := range buffer {
 		r := &buffer[i]
-		if r.host.DataCentre == dataCentre {
+		switch {
+		case r.host.DataCentre == dataCentre:
 			local++
 			r.preferred = local <= localCandidates
-		} else {
+		case !r.host.Evacuated:
 			remote++
-			r.preferred = remote <= remoteCandidates
+			r.preferred = remote <= remoteLimit
 		}
 	}
 	slices.SortStableFunc(buffer, func(a, b rankedHost) int { return a.class(dataCentre) - b.class(dataCentre) })
@@ -174,14 +231,18 @@
 
 // class returns the position of the host's class in the order of rank.
 func (r rankedHost) class(dataCentre string) int {
-	class := 0
-	if r.host.DataCentre != dataCentre {
-		class++
-	}
-	if !r.preferred {
-		class += 2
+	remote := r.host.DataCentre != dataCentre
+	switch {
+	case r.preferred && !remote && !r.host.Evacuated:
+		return 0
+	case r.preferred && remote:
+		return 1
+	case r.preferred:
+		return 2
+	case !remote:
+		return 3
 	}
-	return class
+	return 4
 }
 
 // fmix64 is the finalizer of MurmurHash3.
--- a/kernel/flow/hold.go
+++ b/kernel/flow/hold.go
@@ -16,7 +16,7 @@
 )
 
 // heldSYN is the latest SYN of a flow that can't be placed yet, because the entry has started only now and knows no host
-// of the service.
+// of the service, or does not know the evacuations.
 type heldSYN struct {
 	packet  []byte
 	arrived time.Time
@@ -40,13 +40,13 @@
 	return true
 }
 
-// hasPlaceableHost reports whether the flow's service has a host that takes new flows.
-func (e *Entry) hasPlaceableHost(f gue.Flow, route *plan.Route) bool {
+// awaitsHost reports whether the flow's service has no host that takes new flows, but may soon have one.
+func (e *Entry) awaitsHost(f gue.Flow, route *plan.Route) bool {
 	g := e.directory.Group(route.SelectService(f))
-	return g != nil && g.Placeable > 0
+	return g == nil || g.Placeable == 0 && !g.onlyEvacuated()
 }
 
-// ReleaseHeld places the held SYNs whose service has a host by now, and gives up those that were held for holdTimeout.
+// ReleaseHeld places the held SYNs whose service has a host by now, refuses those whose hosts are all evacuated, and gives up those that were held for holdTimeout.
 // Call it after Update and a few times a second.
 func (e *Entry) ReleaseHeld(now time.Time, out *Output) {
 	if e.plan == nil || e.directory == nil {
@@ -54,7 +54,7 @@
 	}
 	for f, h := range e.held {
 		route := e.plan.Find(f.Service)
-		if route != nil && !e.hasPlaceableHost(f, route) && now.Sub(h.arrived) <= holdTimeout {
+		if route != nil && e.awaitsHost(f, route) && now.Sub(h.arrived) <= holdTimeout {
 			continue
 		}
 		delete(e.held, f)
--- a/kernel/flow/placement.go
+++ b/kernel/flow/placement.go
@@ -15,7 +15,7 @@
 		e.forward(ef.holder, packet, Mark{Value: uint32(e.plan.Version)}, out)
 		return
 	}
-	if !e.hasPlaceableHost(f, route) && e.hold(now, f, packet) {
+	if e.awaitsHost(f, route) && e.hold(now, f, packet) {
 		return
 	}
 	e.startFlow(now, f, route, packet, hdr, out)
@@ -58,7 +58,7 @@
 		mark.Code = CodeForce
 	}
 	if hl == nil || ef.placements == maxPlacements {
-		e.abandonPlacement(now, f, ef, hdr, out)
+		e.abandonPlacement(now, f, service, ef, hdr, out)
 		return
 	}
 	action := ActionPlaced
@@ -81,15 +81,21 @@
 }
 
 // abandonPlacement drops a SYN that could not be placed; the caller retransmits it. The last retransmission is answered
-// with a reset if every tried host returned the SYN, so that the caller does not have to wait for a timeout.
-func (e *Entry) abandonPlacement(now time.Time, f gue.Flow, ef *entryFlow, hdr *Header, out *Output) {
+// with a reset if every tried host returned the SYN, so that the caller does not have to wait for a timeout. So is each SYN
+// of a service whose hosts are all evacuated, because no retransmission can be placed.
+func (e *Entry) abandonPlacement(now time.Time, f gue.Flow, service string, ef *entryFlow, hdr *Header, out *Output) {
 	d := Decision{
 		Action: ActionUnplaced, Flow: f, Reason: "silent", PlanVersion: e.plan.Version,
 		Count: ef.triedCount, AgeMs: now.Sub(ef.waitingSince).Milliseconds(),
 	}
 	e.setStage(ef, nil, stageIdle)
-	if hdr.Attempt >= lastAttempt && ef.declines == ef.triedCount {
+	g := e.directory.Group(service)
+	evacuated := g != nil && g.onlyEvacuated()
+	if (evacuated || hdr.Attempt >= lastAttempt) && ef.declines == ef.triedCount {
 		d.Reason = "reset"
+		if evacuated {
+			d.Reason = "evacuated"
+		}
 		out.sendReset(e.Codec, e.Self, f, 0)
 		e.flows.Remove(f)
 	}
@@ -104,6 +110,11 @@
 	if !known {
 		return
 	}
+	if ef.stage != stageOpening && ef.holder == hl && hl.host.Evacuated {
+		// The SYN went to the holder of an earlier flow of the same caller port, which has ended.
+		e.startFlow(now, f, route, packet, hdr, out)
+		return
+	}
 	ef.declines++
 	if ef.stage == stageOpening && ef.holder == hl {
 		e.place(now, f, route, ef, packet, hdr, out)
--- a/kernel/peer/gossip.go
+++ b/kernel/peer/gossip.go
@@ -69,6 +69,9 @@
 	version uint64
 	started time.Time
 	members map[string]facts.Member
+	// evacuations holds the decoded evacuation facts by data centre. evacuationsKnown is set by MarkEvacuationsKnown.
+	evacuations      map[string]facts.Evacuation
+	evacuationsKnown bool
 	// viewOutdated is set if facts were accepted since the view was published. viewPace spaces the publications.
 	viewOutdated bool
 	viewPace     viewPace
--- a/kernel/peer/handlers.go
+++ b/kernel/peer/handlers.go
@@ -18,6 +18,7 @@
 			reply.PlanVersion = g.Plan.Version()
 			g.observePlanVersion(r.Instance, r.PlanVersion)
 		}
+		reply.EvacuationsKnown = g.evacuationsKnown
 		reply.Digest = g.set.Digest()
 		if reply.Digest != r.Digest {
 			reply.PartitionDigests = g.set.PartitionDigests()
--- a/kernel/peer/link.go
+++ b/kernel/peer/link.go
@@ -133,15 +133,18 @@
 			partitions = l.gossip.set.DifferingPartitions(reply.PartitionDigests)
 			summaries = l.gossip.set.Summaries(partitions)
 		}
+		if reply.EvacuationsKnown && len(partitions) == 0 {
+			l.gossip.MarkEvacuationsKnown()
+		}
 	})
 	if len(partitions) > 0 {
-		l.reconcile(ctx, ReconcileRequest{Partitions: partitions, Summaries: summaries})
+		l.reconcile(ctx, ReconcileRequest{Partitions: partitions, Summaries: summaries}, reply.EvacuationsKnown)
 	}
 }
 
 // reconcile makes the differing partitions of both sets equal. It merges the facts that the peer returns and pushes the
-// facts that the peer requests.
-func (l *link) reconcile(ctx context.Context, request ReconcileRequest) {
+// facts that the peer requests. evacuationsKnown is set if the peer's facts contain the evacuations in the store.
+func (l *link) reconcile(ctx context.Context, request ReconcileRequest, evacuationsKnown bool) {
 	var reply ReconcileReply
 	err := l.gossip.Pool.Call(ctx, l.address, MethodReconcile, request, &reply)
 	l.gossip.recordResult(l.address, err)
@@ -156,6 +159,9 @@
 			}
 		}
 		l.gossip.Accept(now, reply.Facts)
+		if evacuationsKnown {
+			l.gossip.MarkEvacuationsKnown()
+		}
 	})
 	if len(requested) > 0 {
 		l.push(ctx, requested)
--- a/kernel/peer/messages.go
+++ b/kernel/peer/messages.go
@@ -22,6 +22,8 @@
 	PartitionDigests []uint64         `json:"parts,omitempty"`
 	ContactAgesMs    map[string]int64 `json:"heardMs,omitempty"`
 	PlanVersion      uint64           `json:"planVersion,omitempty"`
+	// EvacuationsKnown is set if the responder's facts contain the evacuations in the store.
+	EvacuationsKnown bool `json:"evacuationsKnown,omitempty"`
 }
 
 // ReconcileRequest carries the summaries of the sender's facts in the differing partitions.
--- a/kernel/peer/view.go
+++ b/kernel/peer/view.go
@@ -15,6 +15,10 @@
 	Digest   uint64
 	Members  []facts.Member
 	Services services.List
+	// Evacuations holds the evacuations of data centres, and the ended ones, sorted by data centre.
+	Evacuations []facts.Evacuation
+	// EvacuationsKnown is set once this instance has read the evacuations in the store, or has all facts of a peer that did.
+	EvacuationsKnown bool
 }
 
 // View returns the current view. It may be called from any goroutine.
@@ -42,6 +46,9 @@
 	}
 	g.viewOutdated = true
 	for _, f := range accepted {
+		if f.Kind == facts.KindEvacuation {
+			g.updateEvacuation(f)
+		}
 		if f.Kind != facts.KindMember {
 			continue
 		}
@@ -66,6 +73,7 @@
 		events.FactRefused.Log(g.Logger, events.ErrorAttr(err))
 	}
 	v.Services = list
+	v.Evacuations, v.EvacuationsKnown = g.Evacuations(), g.evacuationsKnown
 	g.view.Store(v)
 	g.updateExpected(now, v.Members)
 	if g.OnChange != nil {
--- a/kernel/plan/format.go
+++ b/kernel/plan/format.go
@@ -6,6 +6,8 @@
 type Format interface {
 	// Location returns the kind and name of the store object that holds the plan.
 	Location() (kind, name string)
+	// EvacuationsKind returns the kind of the store objects whose names are those of the evacuated data centres.
+	EvacuationsKind() string
 	// Decode parses a plan and indexes it.
 	Decode(spec []byte) (*Plan, error)
 }
--- a/rig/store/control_test.go
+++ b/rig/store/control_test.go
@@ -31,6 +31,8 @@
 
 func (testFormat) Location() (kind, name string) { return "plans", "current" }
 
+func (testFormat) EvacuationsKind() string { return "evacuated" }
+
 func (testFormat) Decode(spec []byte) (*plan.Plan, error) {
 	p := &plan.Plan{}
 	if err := json.Unmarshal(spec, p); err != nil {
@@ -123,7 +125,7 @@
 func newNode(i *instance, c *store.Client, self facts.Member, seeds []netip.AddrPort) *control.Node {
 	return &control.Node{
 		Self: self, Seeds: seeds, Store: c, Format: testFormat{}, Logger: slog.New(slog.DiscardHandler),
-		OnMembers: func(_ time.Time, members []facts.Member) {
+		OnMembers: func(_ time.Time, members []facts.Member, _ facts.Evacuations) {
 			i.mutex.Lock()
 			defer i.mutex.Unlock()
 			i.members = members
