Soak: fault evacuate, and a check that evacuated hosts get no new flows

The soak had no evacuations. A SYN that reaches a target of the data centre later than 5 s after the store's acknowledgement is a violation; disrupted links to the store or between instances extend that. The agents of a service were all in one data centre, so that an evacuation left it no host; now they alternate.

--- a/rig/site/checker.go
+++ b/rig/site/checker.go
@@ -31,7 +31,11 @@
 	// time of the last disruption of any component.
 	disruptedAt    map[int]time.Time
 	lastDisruption time.Time
-	Violations     []Violation
+	// evacuatedAt is when the store acknowledged the evacuation of each data centre, and lastLinkDisruption the time of the
+	// last disruption of links to the store or between instances.
+	evacuatedAt        map[string]time.Time
+	lastLinkDisruption time.Time
+	Violations         []Violation
 }
 
 // acceptedPlan is a plan and the time at which the store accepted it.
@@ -87,6 +91,7 @@
 	if !c.mayRoute(now, service, f) {
 		c.reportLocked("wrongRoute", fmt.Sprintf("a SYN of %s reached a target of %s", f, service))
 	}
+	c.checkEvacuated(now, f.String(), inc)
 	if !inc.drainAcknowledgedAt.IsZero() && now.Sub(inc.drainAcknowledgedAt) > drainPropagationLimit {
 		c.reportLocked("drained", fmt.Sprintf("a SYN of %s reached %s, which is draining", f, inc.target.ID))
 	}
--- a/rig/site/faults.go
+++ b/rig/site/faults.go
@@ -39,6 +39,7 @@
 	{"targetDies", (*Site).restartTarget},
 	{"release", (*Site).replaceTarget},
 	{"plan", (*Site).changePlan},
+	{"evacuate", (*Site).evacuate},
 }
 
 // FaultNames returns the names of all kinds of fault.
@@ -166,8 +167,10 @@
 		}
 	}
 	s.Checker.RecordDisruption(time.Now(), agentIndex)
+	s.Checker.recordLinkDisruption(time.Now())
 	time.Sleep(d)
 	s.Checker.RecordDisruption(time.Now(), agentIndex)
+	s.Checker.recordLinkDisruption(time.Now())
 	for _, l := range links {
 		if err := l.SetMode(ModePass); err != nil {
 			s.Checker.report("proxy", err.Error())
--- a/rig/site/layout.go
+++ b/rig/site/layout.go
@@ -108,5 +108,9 @@
 // agentName returns the instance name of the i-th agent.
 func agentName(i int) string { return fmt.Sprintf("agent-%d", i) }
 
-// dataCentre returns the data centre of the i-th entry or agent. They alternate between two data centres.
+// dataCentre returns the data centre of the i-th entry. They alternate between two data centres.
 func dataCentre(i int) string { return fmt.Sprintf("dc%d", i%2) }
+
+// agentDataCentre returns the data centre of the i-th agent. The agents of each service alternate between the data centres,
+// so that a service has hosts left when one of them is evacuated.
+func agentDataCentre(i int) string { return dataCentre(i / len(services)) }
--- a/rig/site/site.go
+++ b/rig/site/site.go
@@ -61,6 +61,9 @@
 	nodes       []*node
 	random      *rand.Rand
 
+	// evacuationMutex is held while a data centre is evacuated.
+	evacuationMutex sync.Mutex
+
 	planMutex   sync.Mutex
 	planVersion uint64
 }
@@ -154,7 +157,7 @@
 		Service: services[i%len(services)], Checker: s.Checker, agentIndex: i, packets: address(portTarget), outbound: address(portOutbound),
 		random: rand.New(rand.NewPCG(s.Seed, uint64(2000+i))),
 	}
-	settings := commonSettings(agentName(i), dataCentre(i), address)
+	settings := commonSettings(agentName(i), agentDataCentre(i), address)
 	settings["service"], settings["entries"] = t.Service, seeds
 	settings["targetPackets"], settings["outbound"], settings["announcements"] = t.packets, t.outbound, address(portAnnouncements)
 	n, err := s.addNode(ctx, s.Programs.Agent, firstAgentHost+i, i, settings)
@@ -174,6 +177,7 @@
 	return map[string]any{
 		"instance": name, "dataCentre": dataCentre, "form": platform.Form, "packets": address(portPackets), "control": address(portControl),
 		"admin": address(portAdmin), "readiness": address(portReadiness), "readinessPath": readinessPath,
+		"evacuations": true,
 	}
 }
 
