Evacuations: a service whose hosts elsewhere start or drain is not refused at once

SYNs of a service without a ready host outside the evacuated data centres were reset even if a host there was starting or draining, and could have been placed within the 400 ms for which SYNs are held. Now only hosts that are down do not count. TestRouteWithOnlyEvacuatedHostsIsRefusedAtOnce covers it; the tests of kernel/flow pass.

--- a/kernel/flow/directory.go
+++ b/kernel/flow/directory.go
@@ -36,8 +36,8 @@
 	Hosts []*Host
 	// Placeable is the number of hosts that new flows may be placed on.
 	Placeable int
-	// evacuated is the number of hosts in evacuated data centres that would be placeable otherwise, and available the
-	// number of hosts in other data centres that take new flows or may soon do so.
+	// evacuated is the number of hosts in evacuated data centres, and available the number of hosts in others that are not
+	// down. Both are 0 while the evacuations are unknown.
 	evacuated, available int
 	// Digest is a hash of the hosts and their targets' incarnations. Groups with equal digests are taken to be equal.
 	Digest uint64
@@ -84,7 +84,7 @@
 			h.Placeable = m.State == facts.StateServing && m.Target.State == facts.TargetReady
 		}
 		if !evacuations.Unknown {
-			d.countAvailability(h, m)
+			d.countAvailability(h)
 		}
 		h.Placeable = h.Placeable && !h.Evacuated && !evacuations.Unknown
 		d.add(h)
@@ -113,20 +113,20 @@
 	return g
 }
 
-// countAvailability counts a host for Group.onlyEvacuated. An agent that serves without a target has just started, and its
-// target may be ready at any time.
-func (d *Directory) countAvailability(h *Host, m facts.Member) {
+// countAvailability counts a host for Group.onlyEvacuated.
+func (d *Directory) countAvailability(h *Host) {
 	g := d.groupOf(h.Service)
 	switch {
-	case !h.Evacuated && (h.Placeable || m.State == facts.StateServing && m.Target == nil):
-		g.available++
-	case h.Evacuated && h.Placeable:
+	case h.Evacuated:
 		g.evacuated++
 		d.evacuated++
+	case !h.Down:
+		g.available++
 	}
 }
 
-// onlyEvacuated reports whether new flows can't be placed because the hosts are in evacuated data centres.
+// onlyEvacuated reports whether new flows can't be placed because the hosts are in evacuated data centres. Hosts elsewhere
+// that start or drain may soon take flows, so that SYNs can wait for them.
 func (g *Group) onlyEvacuated() bool {
 	return g.evacuated > 0 && g.available == 0
 }
@@ -164,8 +164,7 @@
 	return d.placeable
 }
 
-// EvacuatedCount returns the number of hosts that new flows may be placed on as soon as their data centres are no longer
-// evacuated.
+// EvacuatedCount returns the number of hosts in evacuated data centres.
 func (d *Directory) EvacuatedCount() int {
 	return d.evacuated
 }
--- a/kernel/flow/evacuation_test.go
+++ b/kernel/flow/evacuation_test.go
@@ -96,6 +96,15 @@
 	require.True(t, tn.toCaller[0].RST)
 	require.Equal(t, []string{"evacuated"}, tn.decisionReasons(ActionUnplaced))
 	require.Empty(t, tn.entries[0].held)
+	tn.hosts[1].member.Target, tn.hosts[4].member.State = nil, facts.StateDown
+	tn.evacuate(true, "a", "c")
+	tn.send(0, Header{Source: caller(2), SYN: true})
+	require.Len(t, tn.entries[0].held, 1, "the host may become ready")
+	tn.hosts[1].member.State = facts.StateDown
+	tn.evacuate(true, "a", "c")
+	tn.releaseHeld()
+	require.Len(t, tn.toCaller, 2)
+	tn.evacuate(true, "a", "b", "c")
 	require.Equal(t, 6, tn.entries[0].directory.EvacuatedCount(), "the entry must stay ready for open flows")
 }
 
