--- a/agent/cmd/settings.go
+++ b/agent/cmd/settings.go
@@ -63,6 +63,8 @@
 	// TolerateDataCentres is how many data centres may be lost at once. If it is not 0, agents also exchange with an entry of
 	// another data centre. It must be the same on all instances. It is used only with a Form.
 	TolerateDataCentres int `yaml:"tolerateDataCentres"`
+	// Evacuations makes the agent refuse new flows while its data centre is evacuated. It is used only with a Form.
+	Evacuations bool `yaml:"evacuations"`
 }
 
 // Validate returns all violations in the settings.
--- a/kernel/control/planHistory_test.go
+++ b/kernel/control/planHistory_test.go
@@ -20,6 +20,8 @@
 
 func (jsonFormat) Location() (kind, name string) { return "config", "main" }
 
+func (jsonFormat) EvacuationsKind() string { return "evacuations" }
+
 func (jsonFormat) Decode(spec []byte) (*plan.Plan, error) {
 	p := &plan.Plan{}
 	err := json.Unmarshal(spec, p)
--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -28,7 +28,8 @@
 		return
 	}
 	af, known := a.flows.Get(f)
-	if known && af.state != stateClosed {
+	// While the host is evacuated, the SYN of a caller that closed the flow is a new flow.
+	if known && af.state != stateClosed && (!a.evacuated || !af.callerClosed) {
 		af.lastPacket = now
 		a.expectSYNACK(now)
 		a.sendToTarget(from.Addr(), packet, out)
@@ -73,6 +74,8 @@
 		return CodeRefused, "noTarget"
 	case a.leaving:
 		return CodeRefused, "leaving"
+	case a.evacuated:
+		return CodeRefused, "evacuated"
 	case a.liveness.absent:
 		return CodeRefused, "targetAbsent"
 	case a.target.State != facts.TargetReady:
