Plans: compressed differences in pieces, with a bounded share of the link

Cause: an instance fetched a newer plan as one reply of uncompressed JSON from the first peer that reported it. In a fleet of 22 entries and 58 agents up to 12 instances ask one entry at once. With 1,450 routes (206 KB) a packet then waits up to 1.98 s on a link of 10 Mbit/s (model in planSpread_test.go).

Change: plan.get sends the difference to the plan that the requester has, or the whole plan, compressed, in pieces of 2 KB. It is encoded once per version. An instance sends two updates at a time on a link of 10 Mbit/s, in a fifth of its link, and refuses others with the names of instances that have the plan. The requester asks a random source after a random delay of up to 40 ms, then others, then the store. Older builds get and send whole plans as before. Plans are decoded, encoded and checked with pauses, also those from the store. The entries with the fastest links watch the store (member field linkMbps). The version is pushed before the audit record is made, and comparisons of plans work without reflection.

--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -88,7 +88,7 @@
 	e.node = &control.Node{
 		Self: facts.Member{
 			Instance: s.Instance, Role: facts.RoleEntry, DataCentre: s.DataCentre,
-			Packets: s.Packets, Control: s.Control, State: facts.StateServing,
+			Packets: s.Packets, Control: s.Control, State: facts.StateServing, LinkMbps: s.LinkMbps,
 		},
 		Routes: s.ControlRoutes, Seeds: s.Peers, Store: components.Store, Format: components.Format, Logger: logger,
 		OnMembers: e.onMembers, OnPlan: e.onPlan,
--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -64,6 +64,7 @@
 	n.started = time.Now()
 	n.Plans = &Plans{
 		Store: n.Store, Format: n.Format, Pool: n.pool, Logger: n.Logger, OnPlan: n.activatePlan, ShouldWatch: n.shouldWatch,
+		Self: n.Self.Control, LinkMbps: n.Self.LinkMbps,
 	}
 	n.Gossip = &peer.Gossip{
 		Self:           n.Self,
@@ -121,10 +122,10 @@
 // exchanges.
 func (n *Node) activatePlan(p *plan.Plan) {
 	n.OnPlan(p)
+	n.Gossip.Do(context.Background(), func(now time.Time) { n.Gossip.PushPlanVersion(now) })
 	if n.Auditor != nil {
 		n.Auditor.RecordPlan(time.Now(), p)
 	}
-	n.Gossip.Do(context.Background(), func(now time.Time) { n.Gossip.PushPlanVersion(now) })
 }
 
 // isAuditWriter reports whether this instance writes the audit trail.
@@ -149,22 +150,32 @@
 }
 
 // isWatcher reports whether self is one of the watchers of its data centre, which are the serving entries with the
-// highest scores. There are minWatchers in the fleet, the same number in each data centre.
+// fastest links, and the highest scores among equals. The store sends plans uncompressed, which takes 0.2 s of a link of
+// 10 Mbit/s for 1,450 routes. There are minWatchers in the fleet, the same number in each data centre.
 func isWatcher(self facts.Member, members []facts.Member) bool {
-	selfScore, higher := watcherScore(self.Instance), 0
+	higher := 0
 	dataCentres := map[string]bool{self.DataCentre: true}
 	for _, m := range members {
 		if m.Role != facts.RoleEntry || m.State != facts.StateServing {
 			continue
 		}
 		dataCentres[m.DataCentre] = true
-		if m.DataCentre == self.DataCentre && m.Instance != self.Instance && watcherScore(m.Instance) > selfScore {
+		if m.DataCentre == self.DataCentre && m.Instance != self.Instance && watchesBefore(m, self) {
 			higher++
 		}
 	}
 	return higher < (minWatchers+len(dataCentres)-1)/len(dataCentres)
 }
 
+// watchesBefore reports whether an entry is a watcher rather than another one.
+func watchesBefore(m, other facts.Member) bool {
+	a, b := effectiveLinkMbps(m.LinkMbps), effectiveLinkMbps(other.LinkMbps)
+	if a != b {
+		return a > b
+	}
+	return watcherScore(m.Instance) > watcherScore(other.Instance)
+}
+
 // watcherScore returns the rendezvous weight of an entry for the choice of watchers.
 func watcherScore(instance string) uint64 {
 	return xxhash.Sum64String(instance + "\x00watcher")
--- a/kernel/control/plans.go
+++ b/kernel/control/plans.go
@@ -25,41 +25,77 @@
 	watchTimeout = 1800 * time.Millisecond
 	// watchCheckInterval is how often an instance that does not watch checks whether it should.
 	watchCheckInterval = 100 * time.Millisecond
-	// fetchTimeout limits each read of a newer plan that a peer reported. A plan may take one second to arrive.
+	// fetchTimeout limits the read of a newer plan from the store after no peer sent it.
 	fetchTimeout = time.Second
 	// watchCoalesceDelay is the pause after a change, so that plans in quick succession are read at once.
 	watchCoalesceDelay = 150 * time.Millisecond
 )
 
-// PlanRequest asks an instance for the plan in use.
-type PlanRequest struct{}
-
-// PlanReply carries the plan in use. Version 0 means that there is none.
+// PlanRequest asks an instance for the plan in use. The zero value asks for the whole plan, as older builds and operators
+// do. Otherwise it asks for a piece of an update.
+type PlanRequest struct {
+	// Pieces is set if the requester takes a compressed update in pieces.
+	Pieces bool `json:"pieces,omitempty"`
+	// Have is the version of the plan that the requester has, or 0.
+	Have uint64 `json:"have,omitempty"`
+	// Transfer is a random number, the same in all requests for one update.
+	Transfer uint64 `json:"transfer,omitempty"`
+	// Version and Base repeat those of the first reply, and Offset is the number of bytes received. They are 0 in the first
+	// request for an update.
+	Version uint64 `json:"version,omitempty"`
+	Base    uint64 `json:"base,omitempty"`
+	Offset  int    `json:"offset,omitempty"`
+	// From is the control address of the requester. Others are sent there once the requester has the plan.
+	From netip.AddrPort `json:"from,omitzero"`
+}
+
+// PlanReply carries the plan in use, or a piece of an update to it. Version 0 in both places means that there is none.
 type PlanReply struct {
-	Plan plan.Plan `json:"plan"`
-}
-
-// Plans keeps the plan up to date. It watches the store, and fetches a newer plan from the peer that reports one, or
-// from the store if the peer fails.
+	// Plan is the whole plan.
+	Plan plan.Plan `json:"plan,omitzero"`
+	// Version is the version of the plan that the update leads to. The requester has the latest plan if Size and RetryMs
+	// are 0.
+	Version uint64 `json:"version,omitempty"`
+	// Base is the version of the requester's plan as far as the responder remembers that plan, otherwise 0.
+	Base uint64 `json:"base,omitempty"`
+	// Size is the length of the update, and Piece is the requested part of it.
+	Size  int    `json:"size,omitempty"`
+	Piece []byte `json:"piece,omitempty"`
+	// Difference is set if the update is a difference, not a whole plan.
+	Difference bool `json:"difference,omitempty"`
+	// RetryMs is set if the request is refused. It is when to ask again, in milliseconds. Elsewhere lists instances that
+	// have the plan.
+	RetryMs   int64            `json:"retryMs,omitempty"`
+	Elsewhere []netip.AddrPort `json:"elsewhere,omitempty"`
+}
+
+// Caller calls a method of a peer, like *peer.Pool.
+type Caller interface {
+	Call(ctx context.Context, to netip.AddrPort, method string, params, result any) error
+}
+
+// Plans keeps the plan up to date. It watches the store, and fetches a newer plan from the peers that report one, or
+// from the store if none of them sends it.
 type Plans struct {
 	Store  *store.Client
 	Format plan.Format
-	Pool   *peer.Pool
+	Pool   Caller
 	Logger *slog.Logger
+	// Self is the control address of this instance.
+	Self netip.AddrPort
+	// LinkMbps is the capacity of this instance's network link in Mbit/s. 0 means defaultLinkMbps.
+	LinkMbps float64
 	// OnPlan is called with each newer plan.
 	OnPlan func(p *plan.Plan)
 	// ShouldWatch reports whether this instance should watch the store at now.
 	ShouldWatch func(now time.Time) bool
 
 	current atomic.Pointer[plan.Plan]
-	reports chan versionReport
-	health  dependencyHealth
-}
-
-// versionReport is a report by a peer of the version of the plan that it uses.
-type versionReport struct {
-	version uint64
-	from    netip.AddrPort
+	// reported is signalled when a peer reports a newer plan.
+	reported chan struct{}
+	sources  planSources
+	server   planServer
+	health   dependencyHealth
 }
 
 // Start keeps the plan up to date until ctx is cancelled.
@@ -70,7 +106,8 @@
 
 // prepare initialises the fields that ObserveVersion uses, because peers may report versions before Start.
 func (p *Plans) prepare() {
-	p.reports = make(chan versionReport, 1)
+	p.reported = make(chan struct{}, 1)
+	p.server.gate.LinkMbps = p.LinkMbps
 	p.health = dependencyHealth{name: "storePlan", logger: p.Logger}
 }
 
@@ -92,19 +129,17 @@
 	if version <= p.Version() {
 		return
 	}
+	p.sources.observe(time.Now(), version, from)
 	select {
-	case p.reports <- versionReport{version: version, from: from}:
+	case p.reported <- struct{}{}:
 	default:
 	}
 }
 
 // Handlers returns the JSON-RPC handlers of Plans.
 func (p *Plans) Handlers() map[string]peer.Handler {
-	return map[string]peer.Handler{MethodPlan: peer.Handle(func(context.Context, PlanRequest) (PlanReply, error) {
-		if c := p.current.Load(); c != nil {
-			return PlanReply{Plan: *c}, nil
-		}
-		return PlanReply{}, nil
+	return map[string]peer.Handler{MethodPlan: peer.Handle(func(ctx context.Context, r PlanRequest) (any, error) {
+		return p.server.reply(ctx, p.current.Load(), r)
 	})}
 }
 
@@ -184,52 +219,8 @@
 			break
 		}
 	}
+	p.server.remember(next)
 	events.PlanTaken.Log(p.Logger, slog.Uint64("planVersion", next.Version), slog.String("source", source),
 		slog.Uint64("revision", revision), slog.Int("routes", len(next.Routes)))
 	p.OnPlan(next)
 }
-
-// fetchLoop fetches the newer plans that peers report until ctx is cancelled.
-func (p *Plans) fetchLoop(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case r := <-p.reports:
-			if r.version > p.Version() {
-				p.fetch(ctx, r)
-			}
-		}
-	}
-}
-
-// fetch reads the newer plan from the peer that reported it, or from the store if the peer fails.
-func (p *Plans) fetch(ctx context.Context, r versionReport) {
-	if p.fetchFromPeer(ctx, r) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	kind, name := p.Format.Location()
-	object, err := p.Store.Get(ctx, kind, name)
-	if err != nil {
-		events.StoreUnavailable.Log(p.Logger, events.ErrorAttr(err), slog.Uint64("planVersion", r.version))
-		return
-	}
-	p.applyLatest([]store.Object{object}, "storeAfterPeer")
-}
-
-// fetchFromPeer reads and applies the peer's plan. It reports whether the plan in use is now at least as new as the
-// version that the peer reported.
-func (p *Plans) fetchFromPeer(ctx context.Context, r versionReport) bool {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	var reply PlanReply
-	if err := p.Pool.Call(ctx, r.from, MethodPlan, PlanRequest{}, &reply); err != nil {
-		events.PeerFailed.Log(p.Logger, slog.String("peer", r.from.String()), events.ErrorAttr(err))
-		return false
-	}
-	reply.Plan.Index()
-	p.apply(&reply.Plan, r.from.String(), 0)
-	return p.Version() >= r.version
-}
--- a/kernel/facts/member.go
+++ b/kernel/facts/member.go
@@ -39,6 +39,8 @@
 	// Requests is the address at which an agent receives requests handed over by other agents.
 	Requests netip.AddrPort `json:"requests"`
 	State    State          `json:"state"`
+	// LinkMbps is the capacity of an entry's network link in Mbit/s. It is 0 if unknown, and for older builds.
+	LinkMbps float64 `json:"linkMbps,omitempty"`
 	// Target is set if the agent forwards flows to a target that terminates them. It is nil for an agent that
 	// terminates its flows itself and for an entry.
 	Target *Target `json:"target,omitempty"`
--- a/kernel/plan/difference.go
+++ b/kernel/plan/difference.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"reflect"
 	"slices"
 	"strings"
 
@@ -39,19 +38,19 @@
 		old, found := before[a]
 		switch {
 		case !found:
-			d.Added = append(d.Added, r)
-		case !reflect.DeepEqual(old, r):
-			d.Changed = append(d.Changed, Change{Before: old, After: r})
+			d.Added = append(d.Added, *r)
+		case !old.Equal(r):
+			d.Changed = append(d.Changed, Change{Before: *old, After: *r})
 		}
 	}
 	for a, r := range before {
 		if _, found := after[a]; !found {
-			d.Removed = append(d.Removed, r)
+			d.Removed = append(d.Removed, *r)
 		}
 	}
-	slices.SortFunc(d.Added, compareAddresses)
-	slices.SortFunc(d.Removed, compareAddresses)
-	slices.SortFunc(d.Changed, func(a, b Change) int { return compareAddresses(a.After, b.After) })
+	sortByText(d.Added, func(r *Route) gue.Endpoint { return r.Address })
+	sortByText(d.Removed, func(r *Route) gue.Endpoint { return r.Address })
+	sortByText(d.Changed, func(c *Change) gue.Endpoint { return c.After.Address })
 	return d
 }
 
@@ -61,17 +60,38 @@
 }
 
 // routesByAddress returns the routes of a plan by address. It works for plans that are not indexed.
-func routesByAddress(p *Plan) map[gue.Endpoint]Route {
-	routes := make(map[gue.Endpoint]Route, len(p.Routes))
-	for _, r := range p.Routes {
-		routes[r.Address] = r
+func routesByAddress(p *Plan) map[gue.Endpoint]*Route {
+	if p.index != nil {
+		return p.index
+	}
+	routes := make(map[gue.Endpoint]*Route, len(p.Routes))
+	for i := range p.Routes {
+		routes[p.Routes[i].Address] = &p.Routes[i]
 	}
 	return routes
 }
 
-// compareAddresses orders routes by the text of their addresses.
-func compareAddresses(a, b Route) int {
-	return strings.Compare(a.Address.String(), b.Address.String())
+// sortByText sorts values by the text of their addresses. It formats each address once.
+func sortByText[T any](all []T, address func(v *T) gue.Endpoint) {
+	type keyed struct {
+		text  string
+		value T
+	}
+	sorted := make([]keyed, len(all))
+	for i := range all {
+		sorted[i] = keyed{text: address(&all[i]).String(), value: all[i]}
+	}
+	slices.SortFunc(sorted, func(a, b keyed) int { return strings.Compare(a.text, b.text) })
+	for i := range sorted {
+		all[i] = sorted[i].value
+	}
+}
+
+// Equal reports whether both routes are the same. It works without reflection, because a comparison of plans calls it for
+// each route.
+func (r *Route) Equal(other *Route) bool {
+	return r.Name == other.Name && r.Address == other.Address && r.Objective == other.Objective &&
+		slices.Equal(r.Shares, other.Shares)
 }
 
 // String formats the route on one line, such as "198.18.0.1:443 web -> a:3,b:1 within 150ms".
