Merge the distribution of large plans

At the merge: the first reply for an update carries the plan's history, of at most 128 services, and an instance that has no plan decodes one without pauses, since it forwards nothing until it has it.

--- a/kernel/control/planHistory_test.go
+++ b/kernel/control/planHistory_test.go
@@ -22,14 +22,14 @@
 
 func (jsonFormat) EvacuationsKind() string { return "evacuations" }
 
-func (jsonFormat) Decode(spec []byte) (*plan.Plan, error) {
+func (jsonFormat) Decode(spec []byte, _ *plan.Steps) (*plan.Plan, error) {
 	p := &plan.Plan{}
 	err := json.Unmarshal(spec, p)
 	p.Index()
 	return p, err
 }
 
-func newPlans() *Plans {
+func newTestPlans() *Plans {
 	p := &Plans{Format: jsonFormat{}, Logger: slog.New(slog.DiscardHandler), OnPlan: func(*plan.Plan) {}}
 	p.prepare()
 	return p
@@ -45,7 +45,7 @@
 // Guards against a history without the plans that came in quick succession, and against one that hides a gap: after a
 // listing, and after a plan that could not be decoded.
 func TestHistoryFollowsTheStore(t *testing.T) {
-	p := newPlans()
+	p := newTestPlans()
 	p.applyObjects([]store.Object{planObject(t, 1, "a")}, "store", true)
 	since := p.Current().History.Since
 	p.applyObjects([]store.Object{planObject(t, 2, "b"), planObject(t, 3, "c"), planObject(t, 4, "d")}, "store", false)
@@ -67,9 +67,9 @@
 // Guards against a reply without the history, and against an instance that takes its plan for the newest although a peer
 // has reported a newer one.
 func TestPlanReplyCarriesTheHistory(t *testing.T) {
-	p := newPlans()
+	p := newTestPlans()
 	p.applyObjects([]store.Object{planObject(t, 1, "a"), planObject(t, 2, "b")}, "store", true)
-	result, err := p.Handlers()[MethodPlan](context.Background(), json.RawMessage("{}"))
+	result, err := p.Handlers()[MethodPlan](context.Background(), json.RawMessage(`{"pieces":true}`))
 	require.NoError(t, err)
 	require.Len(t, result.(PlanReply).History.Earlier, 1)
 	p.ObserveVersion(5, netip.AddrPort{})
--- a/kernel/control/plans.go
+++ b/kernel/control/plans.go
@@ -25,29 +25,68 @@
 	watchTimeout = 1800 * time.Millisecond
 	// watchCheckInterval is how often an instance that does not watch checks whether it should.
 	watchCheckInterval = 100 * time.Millisecond
-	// fetchTimeout limits each read of a newer plan that a peer reported. A plan may take one second to arrive.
+	// fetchTimeout limits the read of a newer plan from the store after no peer sent it.
 	fetchTimeout = time.Second
 	// watchCoalesceDelay is the pause after a change, so that plans in quick succession are read at once.
 	watchCoalesceDelay = 150 * time.Millisecond
 )
 
-// PlanRequest asks an instance for the plan in use.
-type PlanRequest struct{}
+// PlanRequest asks an instance for the plan in use. The zero value asks for the whole plan, as older builds and operators
+// do. Otherwise it asks for a piece of an update.
+type PlanRequest struct {
+	// Pieces is set if the requester takes a compressed update in pieces.
+	Pieces bool `json:"pieces,omitempty"`
+	// Have is the version of the plan that the requester has, or 0.
+	Have uint64 `json:"have,omitempty"`
+	// Transfer is a random number, the same in all requests for one update.
+	Transfer uint64 `json:"transfer,omitempty"`
+	// Version and Base repeat those of the first reply, and Offset is the number of bytes received. They are 0 in the first
+	// request for an update.
+	Version uint64 `json:"version,omitempty"`
+	Base    uint64 `json:"base,omitempty"`
+	Offset  int    `json:"offset,omitempty"`
+	// From is the control address of the requester. Others are sent there once the requester has the plan.
+	From netip.AddrPort `json:"from,omitzero"`
+}
 
-// PlanReply carries the plan in use and its history. Version 0 means that there is none. An instance of an older build
-// sends no history.
+// PlanReply carries the plan in use, or a piece of an update to it. Version 0 in both places means that there is none.
 type PlanReply struct {
-	Plan    plan.Plan           `json:"plan"`
+	// Plan is the whole plan.
+	Plan plan.Plan `json:"plan,omitzero"`
+	// Version is the version of the plan that the update leads to. The requester has the latest plan if Size and RetryMs
+	// are 0.
+	Version uint64 `json:"version,omitempty"`
+	// Base is the version of the requester's plan as far as the responder remembers that plan, otherwise 0.
+	Base uint64 `json:"base,omitempty"`
+	// Size is the length of the update, and Piece is the requested part of it.
+	Size  int    `json:"size,omitempty"`
+	Piece []byte `json:"piece,omitempty"`
+	// History is that of the plan, in the first reply for an update. An instance of an older build sends none.
 	History *plan.HistoryRecord `json:"history,omitempty"`
+	// Difference is set if the update is a difference, not a whole plan.
+	Difference bool `json:"difference,omitempty"`
+	// RetryMs is set if the request is refused. It is when to ask again, in milliseconds. Elsewhere lists instances that
+	// have the plan.
+	RetryMs   int64            `json:"retryMs,omitempty"`
+	Elsewhere []netip.AddrPort `json:"elsewhere,omitempty"`
+}
+
+// Caller calls a method of a peer, like *peer.Pool.
+type Caller interface {
+	Call(ctx context.Context, to netip.AddrPort, method string, params, result any) error
 }
 
-// Plans keeps the plan up to date. It watches the store, and fetches a newer plan from the peer that reports one, or
-// from the store if the peer fails.
+// Plans keeps the plan up to date. It watches the store, and fetches a newer plan from the peers that report one, or
+// from the store if none of them sends it.
 type Plans struct {
 	Store  *store.Client
 	Format plan.Format
-	Pool   *peer.Pool
+	Pool   Caller
 	Logger *slog.Logger
+	// Self is the control address of this instance.
+	Self netip.AddrPort
+	// LinkMbps is the capacity of this instance's network link in Mbit/s. 0 means defaultLinkMbps.
+	LinkMbps float64
 	// OnPlan is called with each newer plan.
 	OnPlan func(p *plan.Plan)
 	// ShouldWatch reports whether this instance should watch the store at now.
@@ -55,15 +94,12 @@
 
 	current atomic.Pointer[plan.Plan]
 	// newest is the highest version that was reported or applied.
-	newest  atomic.Uint64
-	reports chan versionReport
-	health  dependencyHealth
-}
-
-// versionReport is a report by a peer of the version of the plan that it uses.
-type versionReport struct {
-	version uint64
-	from    netip.AddrPort
+	newest atomic.Uint64
+	// reported is signalled when a peer reports a newer plan.
+	reported chan struct{}
+	sources  planSources
+	server   planServer
+	health   dependencyHealth
 }
 
 // Start keeps the plan up to date until ctx is cancelled.
@@ -74,7 +110,8 @@
 
 // prepare initialises the fields that ObserveVersion uses, because peers may report versions before Start.
 func (p *Plans) prepare() {
-	p.reports = make(chan versionReport, 1)
+	p.reported = make(chan struct{}, 1)
+	p.server.gate.LinkMbps = p.LinkMbps
 	p.health = dependencyHealth{name: "storePlan", logger: p.Logger}
 }
 
@@ -103,19 +140,17 @@
 	}
 	for newest := p.newest.Load(); version > newest && !p.newest.CompareAndSwap(newest, version); newest = p.newest.Load() {
 	}
+	p.sources.observe(time.Now(), version, from)
 	select {
-	case p.reports <- versionReport{version: version, from: from}:
+	case p.reported <- struct{}{}:
 	default:
 	}
 }
 
 // Handlers returns the JSON-RPC handlers of Plans.
 func (p *Plans) Handlers() map[string]peer.Handler {
-	return map[string]peer.Handler{MethodPlan: peer.Handle(func(context.Context, PlanRequest) (PlanReply, error) {
-		if c := p.current.Load(); c != nil {
-			return PlanReply{Plan: *c, History: c.History.Record(time.Now())}, nil
-		}
-		return PlanReply{}, nil
+	return map[string]peer.Handler{MethodPlan: peer.Handle(func(ctx context.Context, r PlanRequest) (any, error) {
+		return p.server.reply(ctx, p.current.Load(), r)
 	})}
 }
 
@@ -175,7 +210,7 @@
 		if o.Name != name || o.Deleted {
 			continue
 		}
-		decoded, err := p.Format.Decode(o.Spec)
+		decoded, err := p.Format.Decode(o.Spec, stepsBeside(p.current.Load()))
 		if err != nil {
 			events.PlanRefused.Log(p.Logger, slog.Uint64("revision", o.Revision), events.ErrorAttr(err))
 			// An instance of another build may use this plan.
@@ -214,6 +249,15 @@
 	return current
 }
 
+// stepsBeside returns the steps for work on a plan beside the one in use, which may be nil. Without a plan, an instance
+// forwards no packets that pauses could spare from waiting, and needs the plan to do so.
+func stepsBeside(used *plan.Plan) *plan.Steps {
+	if used == nil {
+		return nil
+	}
+	return &plan.Steps{}
+}
+
 // isNewer reports whether a plan replaces current, which may be nil.
 func isNewer(next, current *plan.Plan) bool {
 	return next.Version != 0 && (current == nil || next.Version > current.Version)
@@ -233,6 +277,7 @@
 			break
 		}
 	}
+	p.server.remember(next)
 	events.PlanTaken.Log(p.Logger, slog.Uint64("planVersion", next.Version), slog.String("source", source),
 		slog.Uint64("revision", revision), slog.Int("routes", len(next.Routes)))
 	if current == nil || current.History != nil && next.History.Since.After(current.History.Since) {
@@ -249,54 +294,3 @@
 	}
 	return 0
 }
-
-// fetchLoop fetches the newer plans that peers report until ctx is cancelled.
-func (p *Plans) fetchLoop(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case r := <-p.reports:
-			if r.version > p.Version() {
-				p.fetch(ctx, r)
-			}
-		}
-	}
-}
-
-// fetch reads the newer plan from the peer that reported it, or from the store if the peer fails.
-func (p *Plans) fetch(ctx context.Context, r versionReport) {
-	if p.fetchFromPeer(ctx, r) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	kind, name := p.Format.Location()
-	object, err := p.Store.Get(ctx, kind, name)
-	if err != nil {
-		events.StoreUnavailable.Log(p.Logger, events.ErrorAttr(err), slog.Uint64("planVersion", r.version))
-		return
-	}
-	p.applyObjects([]store.Object{object}, "storeAfterPeer", true)
-}
-
-// fetchFromPeer reads and applies the peer's plan. It reports whether the plan in use is now at least as new as the
-// version that the peer reported.
-func (p *Plans) fetchFromPeer(ctx context.Context, r versionReport) bool {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	var reply PlanReply
-	if err := p.Pool.Call(ctx, r.from, MethodPlan, PlanRequest{}, &reply); err != nil {
-		events.PeerFailed.Log(p.Logger, slog.String("peer", r.from.String()), events.ErrorAttr(err))
-		return false
-	}
-	reply.Plan.Index()
-	now := time.Now()
-	history := reply.History.History(now)
-	p.apply(now, r.from.String(), 0, func(current *plan.Plan) *plan.Plan {
-		next := reply.Plan
-		next.History = plan.SucceedFromPeer(now, current, &next, history)
-		return &next
-	})
-	return p.Version() >= r.version
-}
--- a/kernel/plan/format.go
+++ b/kernel/plan/format.go
@@ -8,8 +8,8 @@
 	Location() (kind, name string)
 	// EvacuationsKind returns the kind of the store objects whose names are those of the evacuated data centres.
 	EvacuationsKind() string
-	// Decode parses a plan and indexes it.
-	Decode(spec []byte) (*Plan, error)
+	// Decode parses a plan and indexes it, with the pauses of s. A nil s never pauses.
+	Decode(spec []byte, s *Steps) (*Plan, error)
 }
 
 // Formats holds the registered plan formats.
--- a/kernel/plan/historyRecord.go
+++ b/kernel/plan/historyRecord.go
@@ -6,6 +6,10 @@
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
 )
 
+// maxRecordServices bounds the services in a record, which travels in one message of some 10 KB at most. After a change of
+// more routes the receiver has no history, and asks the hosts of all services.
+const maxRecordServices = 128
+
 // maxRecordAge bounds the ages in a record from a peer, so that no value can overflow a duration.
 const maxRecordAge = 24 * time.Hour
 
@@ -25,7 +29,7 @@
 	AgeMs   int64        `json:"ageMs"`
 }
 
-// Record encodes the history at now. It returns nil for a nil history.
+// Record encodes the history at now. It returns nil for a nil history and for one of more than maxRecordServices services.
 func (h *History) Record(now time.Time) *HistoryRecord {
 	if h == nil {
 		return nil
@@ -38,6 +42,9 @@
 			}
 		}
 	}
+	if len(r.Earlier) > maxRecordServices {
+		return nil
+	}
 	return r
 }
 
--- a/rig/store/control_test.go
+++ b/rig/store/control_test.go
@@ -33,7 +33,7 @@
 
 func (testFormat) EvacuationsKind() string { return "evacuated" }
 
-func (testFormat) Decode(spec []byte) (*plan.Plan, error) {
+func (testFormat) Decode(spec []byte, _ *plan.Steps) (*plan.Plan, error) {
 	p := &plan.Plan{}
 	if err := json.Unmarshal(spec, p); err != nil {
 		return nil, err
