Targets: incarnations with an earlier start are accepted with proof, and a draining target is not taken for gone

Cause: an agent answered 200 to announcements that it ignored, so that a target which restarted while its clock was set back never drained; one refused connection reset the open flows of a draining target; "gone" could overwrite a newer announcement; the entry stored plans without comparing their versions. Change: only announcements that were taken into account are answered 200. An unknown incarnation with an earlier start is accepted after two ascending announcements 300 ms apart while the known one is silent for 900 ms. A draining target counts as gone after 500 ms of refused checks without a sign of it. The published state is read on the control goroutine. The entry keeps the newer plan.

--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -50,6 +50,8 @@
 	tracker   announce.Tracker
 	recorder  *dataplane.Recorder
 	output    flow.Output
+	// published is the last state of the target that was given to publishTarget, or nil.
+	published *facts.Target
 }
 
 // runPassthrough runs an agent for a target that terminates callers' TCP connections itself.
@@ -145,9 +147,10 @@
 func (a *passthroughAgent) shutDown(ctx context.Context) {
 	a.mutex.Lock()
 	a.flowAgent.RefuseNewFlows()
-	target, known := a.tracker.Target()
+	target, known := a.latestTarget()
 	a.mutex.Unlock()
-	gone := known && target.State == facts.TargetGone || a.targetRefusesConnections()
+	// The port of a draining target may refuse connections while a request is in progress.
+	gone := known && target.State == facts.TargetGone || target.State != facts.TargetDraining && a.targetRefusesConnections()
 	if gone {
 		a.node.Gossip.Leave(ctx)
 		a.node.Registrar.Remove(ctx)
@@ -164,32 +167,31 @@
 	}
 }
 
-// Accept processes an announcement of the target and reports whether to answer it with success. It implements
+// Accept processes an announcement of the target and reports whether it was taken into account. It implements
 // announce.Sink.
 func (a *passthroughAgent) Accept(now time.Time, announcement announce.Announcement) bool {
 	a.mutex.Lock()
-	target, result := a.tracker.Apply(announcement)
-	wasAbsent := a.flowAgent.TargetIsAbsent()
-	if result == announce.ResultUnchanged || result == announce.ResultChanged {
+	previous, _ := a.tracker.Target()
+	target, result := a.tracker.Apply(now, announcement)
+	if result.Accepted() {
 		a.step(now, func(out *flow.Output) { a.flowAgent.UpdateTarget(now, target, true, out) })
 	}
 	a.mutex.Unlock()
-	if wasAbsent && result == announce.ResultUnchanged {
-		// The target was published as gone.
-		result = announce.ResultChanged
-	}
 	switch result {
-	case announce.ResultUnchanged:
-		return true
-	case announce.ResultChanged:
-		a.publishTarget(target, "announcement", announcement.Sequence)
+	case announce.ResultUnchanged, announce.ResultChanged:
+		if target.StartedMs < previous.StartedMs {
+			events.EarlierStartTaken.Log(a.process.Logger, slog.String("target", target.ID),
+				slog.Int64("bornMs", target.StartedMs), slog.Int64("previousBornMs", previous.StartedMs))
+		}
+		a.publishTarget("announcement", announcement.Sequence)
 		return true
+	case announce.ResultUnproven:
+		a.RecordRefusal(now, "unproven")
 	case announce.ResultStale:
 		a.RecordRefusal(now, "late")
-		// Report success, so that the target does not repeat an announcement that is already out of date.
-		return true
+	default:
+		a.RecordRefusal(now, "otherService")
 	}
-	a.RecordRefusal(now, "otherService")
 	return false
 }
 
@@ -199,14 +201,6 @@
 	events.AnnouncementRefused.Log(a.process.Logger, slog.String("reason", reason))
 }
 
-// publishTarget logs a changed target and publishes it to the other instances.
-func (a *passthroughAgent) publishTarget(t facts.Target, source string, sequence uint64) {
-	events.TargetChanged.Log(a.process.Logger, slog.String("target", t.ID), slog.Int64("bornMs", t.StartedMs),
-		slog.String("state", string(t.State)), slog.Int("slots", t.Slots), slog.String("source", source),
-		slog.Uint64("sequence", sequence))
-	a.node.Gossip.Do(context.Background(), func(now time.Time) { a.node.Gossip.SetTarget(now, t) })
-}
-
 // onMembers replaces the directory of hosts after a change of members. It runs on the control goroutine.
 func (a *passthroughAgent) onMembers(_ time.Time, members []facts.Member) {
 	d := flow.NewDirectory(members)
@@ -228,14 +222,8 @@
 	if restored {
 		a.step(now, func(out *flow.Output) { a.flowAgent.UpdateTarget(now, *m.Target, false, out) })
 	}
-	absent := a.flowAgent.TargetIsAbsent()
 	a.mutex.Unlock()
-	switch {
-	case restored && absent:
-		a.publishTarget(asGone(*m.Target), "store", 0)
-	case restored:
-		a.publishTarget(*m.Target, "store", 0)
-	}
+	a.publishTarget("store", 0)
 }
 
 // onPlan replaces the plan. The agent is ready from its first plan on.
--- a/agent/cmd/targetCheck.go
+++ b/agent/cmd/targetCheck.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/coltsfootline/coltsfootline/kernel/facts"
 	"github.com/coltsfootline/coltsfootline/kernel/flow"
 )
 
@@ -28,31 +27,24 @@
 }
 
 func (c *targetCheck) run() {
+	refused := c.agent.targetRefusesConnections()
+	c.conclude(time.Now(), refused)
+	c.agent.publishTarget("check", 0)
+}
+
+// conclude passes the result of the check to the agent.
+func (c *targetCheck) conclude(now time.Time, refused bool) {
 	a := c.agent
-	if !a.targetRefusesConnections() {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if !refused {
+		a.flowAgent.TargetNotRefused()
 		return
 	}
-	now := time.Now()
-	a.mutex.Lock()
 	a.step(now, func(out *flow.Output) { a.flowAgent.TargetAbsent(now, c.started, out) })
-	target, _ := a.tracker.Target()
-	absent := a.flowAgent.TargetIsAbsent()
-	if absent {
+	if a.flowAgent.TargetIsAbsent() {
 		a.tracker.SetAbsent()
 	}
-	a.mutex.Unlock()
-	if absent {
-		// Without a known target, its zero value is published: entries would otherwise take a host without a target for one
-		// whose agent has just started.
-		a.publishTarget(asGone(target), "check", 0)
-	}
-}
-
-// asGone returns the state to publish of a target whose process does not exist. Its host holds no flows, so that no one
-// has to ask about them, until the target announces itself again.
-func asGone(t facts.Target) facts.Target {
-	t.State = facts.TargetGone
-	return t
 }
 
 // targetRefusesConnections connects to the address on which the target listens while it runs. A refusal shows that its
--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -210,9 +210,14 @@
 	e.addressHolders = current
 }
 
-// onPlan replaces the plan.
+// onPlan replaces the plan unless the new one is older than the current one: the goroutines that accept plans may call
+// it out of order.
 func (e *passthroughEntry) onPlan(p *plan.Plan) {
-	e.plan.Store(p)
+	for current := e.plan.Load(); current == nil || p.Version > current.Version; current = e.plan.Load() {
+		if e.plan.CompareAndSwap(current, p) {
+			break
+		}
+	}
 	e.updateReady()
 }
 
--- a/kernel/announce/tracker.go
+++ b/kernel/announce/tracker.go
@@ -1,6 +1,10 @@
 package announce
 
-import "github.com/coltsfootline/coltsfootline/kernel/facts"
+import (
+	"time"
+
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
+)
 
 // Result is the effect of an announcement on the known state of the target.
 type Result uint8
@@ -10,6 +14,9 @@
 	// ResultStale means that the announcement was ignored as out of date: it is from an earlier incarnation or another
 	// target, the target has terminated, or a later announcement of the same incarnation was processed before it.
 	ResultStale Result = iota
+	// ResultUnproven means that the announcement is from an unknown incarnation with an earlier start than the known one,
+	// which has not shown yet that it runs. Its state was not taken into account.
+	ResultUnproven
 	// ResultOtherService means that the announcement was ignored because its target belongs to another service.
 	ResultOtherService
 	// ResultUnchanged means that the announcement confirmed the known state of the target.
@@ -25,8 +32,18 @@
 	target   facts.Target
 	sequence uint64
 	known    bool
+	// heard is when the known target last announced itself. It is zero if the state is from the store.
+	heard time.Time
 	// absent is set if the process of the known target was found not to exist.
 	absent bool
+	// former holds the incarnations before the known one.
+	former    formerIncarnations
+	candidate candidate
+}
+
+// Accepted reports whether the announcement was taken into account.
+func (r Result) Accepted() bool {
+	return r == ResultUnchanged || r == ResultChanged
 }
 
 // Restore sets the state of the target from the store, unless a state is already known, and reports whether it did.
@@ -45,40 +62,68 @@
 	t.absent = true
 }
 
-// Apply processes an announcement. It returns the state of the target afterwards and the result.
-func (t *Tracker) Apply(a Announcement) (facts.Target, Result) {
+// Apply processes an announcement that was received at the given time. It returns the state of the target afterwards
+// and the result.
+//
+// Incarnations are ordered by their start times, which are of the machine's wall clock. An unknown incarnation with an
+// earlier start than the known one is accepted if it shows by its announcements that it runs while the known one is
+// silent, because the clock may have been set back between the two.
+func (t *Tracker) Apply(now time.Time, a Announcement) (facts.Target, Result) {
 	if a.Target.State == facts.TargetGone {
-		return t.applyGone(a)
+		return t.applyGone(now, a)
 	}
 	if a.Service != t.Service {
 		return t.target, ResultOtherService
 	}
-	if t.known {
-		if a.Target.StartedMs < t.target.StartedMs && !t.absent {
-			return t.target, ResultStale
-		}
-		if a.Target.SameIncarnation(t.target) && (a.Sequence < t.sequence || t.target.State == facts.TargetGone) {
-			return t.target, ResultStale
-		}
+	if result := t.check(now, a); result != ResultChanged {
+		return t.target, result
 	}
 	unchanged := t.known && t.target == a.Target
+	if t.known && !t.target.SameIncarnation(a.Target) {
+		t.former = t.former.with(incarnationOf(t.target))
+	}
 	t.target, t.sequence, t.known, t.absent = a.Target, a.Sequence, true, false
+	t.heard, t.candidate = now, candidate{}
 	if unchanged {
 		return t.target, ResultUnchanged
 	}
 	return t.target, ResultChanged
 }
 
+// check returns ResultChanged if the announcement is to be taken into account, or the reason to ignore it.
+func (t *Tracker) check(now time.Time, a Announcement) Result {
+	switch {
+	case !t.known:
+		return ResultChanged
+	case a.Target.SameIncarnation(t.target):
+		if a.Sequence < t.sequence || t.target.State == facts.TargetGone {
+			return ResultStale
+		}
+		return ResultChanged
+	case t.former.contains(incarnationOf(a.Target)):
+		return ResultStale
+	case a.Target.StartedMs >= t.target.StartedMs, t.absent:
+		return ResultChanged
+	case t.candidate.observe(now, a) && now.Sub(t.heard) >= minKnownSilence:
+		return ResultChanged
+	}
+	return ResultUnproven
+}
+
 // applyGone processes the announcement of a target that terminates. It identifies the target only by its ID and has
-// neither a service, a start time nor a sequence number.
-func (t *Tracker) applyGone(a Announcement) (facts.Target, Result) {
-	if !t.known || a.Target.ID != t.target.ID {
+// neither a service, a start time nor a sequence number. If no target is known yet, the announcement is kept, so that
+// Restore does not bring the target back.
+func (t *Tracker) applyGone(now time.Time, a Announcement) (facts.Target, Result) {
+	if t.known && a.Target.ID != t.target.ID {
 		return t.target, ResultStale
 	}
-	if t.target.State == facts.TargetGone {
+	if t.known && t.target.State == facts.TargetGone {
 		return t.target, ResultUnchanged
 	}
-	t.target.State = facts.TargetGone
+	if !t.known {
+		t.target, t.known = facts.Target{ID: a.Target.ID}, true
+	}
+	t.target.State, t.heard, t.candidate = facts.TargetGone, now, candidate{}
 	return t.target, ResultChanged
 }
 
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -59,4 +59,5 @@
 	TargetAbsent        = define(513, "targetAbsent", slog.LevelWarn, "process of the target does not exist; its flows are reset and new ones refused until it announces itself; count: flows that were open")
 	TargetChanged       = define(520, "targetChanged", slog.LevelInfo, "target reported a change of its state")
 	AnnouncementRefused = define(521, "announcementRefused", slog.LevelWarn, "announcement rejected because it can't be decoded, is late or is for another service; see the reason")
+	EarlierStartTaken   = define(535, "earlierStartTaken", slog.LevelWarn, "target restarted after its clock was set back: its earlier start was accepted, since it announced itself repeatedly and its previous process did not")
 )
--- a/kernel/flow/liveness_test.go
+++ b/kernel/flow/liveness_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
 )
 
 // reportAbsence tells an agent that the process of its target does not exist.
@@ -100,3 +102,30 @@
 	require.False(t, a.NeedsTargetCheck(tn.now.Add(3*livenessInterval)), "the target answered")
 	require.True(t, a.NeedsTargetCheck(tn.now.Add(heartbeatTimeout+time.Millisecond)), "no announcement")
 }
+
+// Pattern: a draining target closes its port while a request is in progress, and its deregistration arrives some
+// milliseconds later (review/findings/flow-as-host-deregisters). One refused check reset the open flow.
+func TestDrainingTargetThatRefusesConnectionsIsNotReset(t *testing.T) {
+	tn := newTestNetwork(t, 1, 1)
+	h := tn.openFlow(0, 1)
+	target := *h.member.Target
+	target.State = facts.TargetDraining
+	var out Output
+	h.agent.UpdateTarget(tn.now, target, true, &out)
+	check := func(after time.Duration, wantAbsent bool) {
+		tn.now = tn.now.Add(after)
+		tn.reportAbsence(h)
+		require.Equal(t, wantAbsent, h.agent.TargetIsAbsent())
+		require.Equal(t, wantAbsent, tn.toCaller[len(tn.toCaller)-1].RST)
+	}
+	check(2*time.Millisecond, false)
+	require.True(t, h.agent.NeedsTargetCheck(tn.now.Add(livenessInterval)), "the refusal is checked again")
+	check(400*time.Millisecond, false)
+	answered, _ := tn.sendRequest(0, 1, h)
+	require.True(t, answered)
+	check(200*time.Millisecond, false)
+	check(400*time.Millisecond, false)
+	h.agent.TargetNotRefused()
+	check(200*time.Millisecond, false)
+	check(drainingProofTime, true)
+}
