Targets: a cold host gets no more new flows a second than the operator's bound

Cause: hosts that had just started, or that became cold during an evacuation, looked the emptiest and got all new flows. Change: the plan's warmupS and warmupPerS and the announcements' warmupLeftMs are decoded. A host is taken as cold from the start of its agent or target and from the end of an evacuation (Agent.EvacuationEnded) until a later announcement says otherwise. SYNs that are not admitted are returned as busy with the reason cold; an entry whose hosts are all cold and full resets the flow at once. TestHeartbeatIsDecoded, TestDecodePlan and TestPlanRoundTrip check the new fields, too.

--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -70,10 +70,13 @@
 		process: &process.Process{
 			Admin: s.Admin, Pprof: s.Pprof, Logger: logger, Readiness: s.Readiness, ReadinessPath: s.ReadinessPath,
 		},
-		protocol:  protocol,
-		flowAgent: &flow.Agent{Self: s.Packets, Service: s.Service, Target: s.TargetPackets, Codec: components.Codec},
-		tracker:   announce.Tracker{Service: s.Service},
-		recorder:  dataplane.NewRecorder(logger, metrics.GetDefaultSet()),
+		protocol: protocol,
+		flowAgent: &flow.Agent{
+			Self: s.Packets, Service: s.Service, Target: s.TargetPackets, Codec: components.Codec,
+			ColdLimits: flow.ColdLimits{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack},
+		},
+		tracker:  announce.Tracker{Service: s.Service},
+		recorder: dataplane.NewRecorder(logger, metrics.GetDefaultSet()),
 	}
 	a.flowAgent.Start(time.Now())
 	a.reloader = &reload.Reloader[*Settings]{File: reload.FileFromContext(ctx), New: defaultSettings, Logger: logger, Apply: a.applySettings}
@@ -91,6 +94,14 @@
 		defer a.mutex.Unlock()
 		return float64(a.flowAgent.FlowCount())
 	})
+	dataplane.RegisterGauge("coltsfootline_agent_cold", func() float64 {
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		if a.flowAgent.IsCold(time.Now()) {
+			return 1
+		}
+		return 0
+	})
 	a.flowAgent.ObserveServiceTime = metrics.GetOrCreateHistogram("coltsfootline_agent_service_seconds").Update
 	return a.process.Run(ctx, a.serve)
 }
@@ -174,7 +185,12 @@
 	previous, _ := a.tracker.Target()
 	target, result := a.tracker.Apply(now, announcement)
 	if result.Accepted() {
-		a.step(now, func(out *flow.Output) { a.flowAgent.UpdateTarget(now, target, true, out) })
+		a.step(now, func(out *flow.Output) {
+			a.flowAgent.UpdateTarget(now, target, true, out)
+			if target.State != facts.TargetGone {
+				a.flowAgent.ObserveWarmup(now, announcement.Warmup.Left, announcement.Warmup.Known, out)
+			}
+		})
 	}
 	a.mutex.Unlock()
 	switch result {
--- a/agent/cmd/settings.go
+++ b/agent/cmd/settings.go
@@ -60,6 +60,10 @@
 	TargetListener netip.AddrPort `yaml:"targetListener"`
 	Outbound       netip.AddrPort `yaml:"outbound"`
 	Announcements  netip.AddrPort `yaml:"announcements"`
+	// ColdOvershoot and ColdSlack bound the new flows of a cold target in any second to the rate that the plan gives for
+	// it times ColdOvershoot, plus ColdSlack. 0 means no limit.
+	ColdOvershoot float64 `yaml:"coldOvershoot"`
+	ColdSlack     float64 `yaml:"coldSlack"`
 }
 
 // Validate returns all violations in the settings.
@@ -111,6 +115,8 @@
 	v.RequireAddress(s.TargetPackets, "targetPackets")
 	v.RequireAddress(s.Outbound, "outbound")
 	v.RequireAddress(s.Announcements, "announcements")
+	v.Require(s.ColdOvershoot >= 0, "coldOvershoot", "a number of 0 or more; 0 means no limit")
+	v.Require(s.ColdSlack >= 0, "coldSlack", "a number of 0 or more")
 }
 
 // targetURL returns the parsed Target, or an empty URL if it is invalid.
--- a/coltsfootline/cmd/planCmd.go
+++ b/coltsfootline/cmd/planCmd.go
@@ -175,6 +175,9 @@
 	if d.IdleTimeoutChanged {
 		_, _ = fmt.Fprintln(w, "the idle timeout differs")
 	}
+	if d.ServicesChanged {
+		_, _ = fmt.Fprintln(w, "the descriptions of the services differ")
+	}
 	if d.Empty() {
 		_, _ = fmt.Fprintln(w, "nothing else differs")
 	}
--- a/kernel/announce/announce.go
+++ b/kernel/announce/announce.go
@@ -15,6 +15,16 @@
 	Target  facts.Target
 	// Sequence increases with each announcement of an incarnation, which is one run of the target.
 	Sequence uint64
+	Warmup   Warmup
+}
+
+// Warmup is what a target says of its warm-up. It is not part of facts.Target, because it changes with each announcement
+// and concerns the target's agent alone.
+type Warmup struct {
+	// Known is false if the announcement says nothing.
+	Known bool
+	// Left is for how much longer the target is cold, or 0 if it is not.
+	Left time.Duration
 }
 
 // Sink receives announcements.
--- a/kernel/dataplane/recorder.go
+++ b/kernel/dataplane/recorder.go
@@ -122,6 +122,10 @@
 		return events.FlowsProbed
 	case flow.ActionTargetAbsent:
 		return events.TargetAbsent
+	case flow.ActionCold:
+		return events.HostCold
+	case flow.ActionWarm:
+		return events.HostWarm
 	}
 	return events.FlowDropped
 }
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -60,4 +60,6 @@
 	TargetChanged       = define(520, "targetChanged", slog.LevelInfo, "target reported a change of its state")
 	AnnouncementRefused = define(521, "announcementRefused", slog.LevelWarn, "announcement rejected because it can't be decoded, is late or is for another service; see the reason")
 	EarlierStartTaken   = define(535, "earlierStartTaken", slog.LevelWarn, "target restarted after its clock was set back: its earlier start was accepted, since it announced itself repeatedly and its previous process did not")
+	HostCold            = define(536, "hostCold", slog.LevelInfo, "target says that it is cold, its new flows are limited; count: requests per second that it can process meanwhile; ageMs: remaining time by its announcement")
+	HostWarm            = define(537, "hostWarm", slog.LevelInfo, "target is no longer cold, its new flows are not limited; ageMs: time since it was taken as cold")
 )
--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -13,6 +13,9 @@
 // one after its start, when targets are loaded most.
 const objectiveWithoutPlan = 150 * time.Millisecond
 
+// reasonCold is the reason for returning a SYN because the host is cold and has got all the flows that it may get.
+const reasonCold = "cold"
+
 // handshake is a flow whose SYN was sent to the target, and when.
 type handshake struct {
 	flow    gue.Flow
@@ -30,7 +33,11 @@
 		return
 	}
 	if code, reason := a.checkNewFlow(now, f, hdr); code != CodeNone {
-		a.Codec.SetMark(packet, Mark{Code: code})
+		mark := Mark{Code: code}
+		if reason == reasonCold {
+			mark.Value = coldValue
+		}
+		a.Codec.SetMark(packet, mark)
 		out.send(from, packet)
 		out.record(Decision{Action: ActionRefused, Flow: f, Reason: reason, PlanVersion: a.planVersion(), Count: a.busyCount})
 		return
@@ -50,7 +57,7 @@
 	}
 }
 
-// checkNewFlow returns CodeNone if the target may receive a new flow. Otherwise it returns the code and the reason for
+// checkNewFlow returns CodeNone if the target may receive a new flow, which then counts if the target is cold. Otherwise it returns the code and the reason for
 // refusing the flow.
 func (a *Agent) checkNewFlow(now time.Time, f gue.Flow, hdr *Header) (Code, string) {
 	switch {
@@ -74,7 +81,13 @@
 			return CodeRefused, "noRoute"
 		}
 	}
-	return a.checkCapacity(now, route, hdr)
+	if code, reason := a.checkCapacity(now, route, hdr); code != CodeNone {
+		return code, reason
+	}
+	if !a.cold.admit(now, a.ColdLimits) {
+		return CodeBusy, reasonCold
+	}
+	return CodeNone, ""
 }
 
 // checkCapacity refuses a flow that would have to wait for a slot, unless the entry allows waiting and the flow can
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -44,6 +44,8 @@
 	// ObserveServiceTime, if not nil, is called with the time from each request to its answer, in seconds. The time of a
 	// flow's first request is measured from the flow's SYN.
 	ObserveServiceTime func(seconds float64)
+	// ColdLimits bounds the new flows that the target gets while it is cold.
+	ColdLimits ColdLimits
 
 	plan *plan.Plan
 	// target is the latest known state of the target; lastHeartbeat is when the target itself last reported it.
@@ -56,6 +58,7 @@
 	// target holds no other flows than the agent tracks.
 	sawAllSYNs bool
 	liveness   liveness
+	cold       coldGate
 	// lastTargetPacket is when the target last sent a packet.
 	lastTargetPacket time.Time
 	// digest holds the low 32 bits of the digest of the service's group, as known to this agent.
@@ -115,6 +118,7 @@
 func (a *Agent) SetPlan(p *plan.Plan) {
 	if a.plan == nil || p.Version >= a.plan.Version {
 		a.plan = p
+		a.cold.setPlan(p, a.Service)
 	}
 }
 
@@ -131,6 +135,9 @@
 func (a *Agent) UpdateTarget(now time.Time, t facts.Target, fromTarget bool, out *Output) {
 	a.ensureInitialized(now)
 	restarted := a.target != nil && !a.target.SameIncarnation(t)
+	if restarted || fromTarget && (a.target == nil || a.liveness.absent) {
+		a.cold.restart(now)
+	}
 	if fromTarget && (restarted || a.lastHeartbeat.IsZero()) && !a.liveness.absent {
 		a.sawAllSYNs = a.sawStartOf(now, t)
 	}
@@ -170,6 +177,7 @@
 func (a *Agent) ensureInitialized(now time.Time) {
 	if a.flows == nil {
 		a.started = now
+		a.cold.restart(now)
 		a.flows, _ = simplelru.NewLRU[gue.Flow, *agentFlow](maxTargetFlows, a.onEvict)
 	}
 }
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -82,6 +82,8 @@
 	triedCount int
 	// declines counts how many times hosts returned the flow's SYNs.
 	declines int
+	// coldDeclines and refusals count how many times hosts returned the latest SYN as cold or refused it.
+	coldDeclines, refusals int
 	// attempt is the Header.Attempt of the latest SYN; placements is how many times that SYN was sent to a host.
 	attempt    uint32
 	placements int
--- a/kernel/flow/liveness.go
+++ b/kernel/flow/liveness.go
@@ -74,6 +74,7 @@
 		return
 	}
 	a.liveness.refusedSince = time.Time{}
+	a.cold.restart(now)
 	a.liveness.absent, a.sawAllSYNs = true, true
 	a.liveness.unansweredSYN = time.Time{}
 	ended := 0
--- a/kernel/flow/load.go
+++ b/kernel/flow/load.go
@@ -39,6 +39,8 @@
 	busyUntil time.Time
 	// refusedUntil is until when the host is not chosen.
 	refusedUntil time.Time
+	// coldUntil is until when the host counts as cold and full.
+	coldUntil time.Time
 	// downSince is when the host was marked as down, or zero if it is up.
 	downSince time.Time
 	// silent counts the questions in a row that the host did not answer. It is not asked about flows before askAfter.
--- a/kernel/flow/output.go
+++ b/kernel/flow/output.go
@@ -46,6 +46,9 @@
 	ActionAnswerLate
 	// ActionTargetAbsent ends the flows of a target whose process no longer exists.
 	ActionTargetAbsent
+	// ActionCold begins to limit the new flows of a host that is cold, and ActionWarm ends it.
+	ActionCold
+	ActionWarm
 )
 
 // Decision records a decision about a flow and what it was based on.
--- a/kernel/flow/placement.go
+++ b/kernel/flow/placement.go
@@ -36,7 +36,7 @@
 		ef.holder.penalizeSYNTimeout(now, ef.waitingSince)
 	}
 	ef.lastPacket = now
-	ef.attempt, ef.placements = hdr.Attempt, 0
+	ef.attempt, ef.placements, ef.coldDeclines, ef.refusals = hdr.Attempt, 0, 0, 0
 	e.place(now, f, route, ef, packet, hdr, out)
 }
 
@@ -81,15 +81,20 @@
 }
 
 // abandonPlacement drops a SYN that could not be placed; the caller retransmits it. The last retransmission is answered
-// with a reset if every tried host returned the SYN, so that the caller does not have to wait for a timeout.
+// with a reset if every tried host returned the SYN, so that the caller does not have to wait for a timeout. So is any
+// transmission if all hosts are cold and full.
 func (e *Entry) abandonPlacement(now time.Time, f gue.Flow, ef *entryFlow, hdr *Header, out *Output) {
 	d := Decision{
 		Action: ActionUnplaced, Flow: f, Reason: "silent", PlanVersion: e.plan.Version,
 		Count: ef.triedCount, AgeMs: now.Sub(ef.waitingSince).Milliseconds(),
 	}
 	e.setStage(ef, nil, stageIdle)
-	if hdr.Attempt >= lastAttempt && ef.declines == ef.triedCount {
+	cold := e.allCold(now, f, ef)
+	if cold || hdr.Attempt >= lastAttempt && ef.declines == ef.triedCount {
 		d.Reason = "reset"
+		if cold {
+			d.Reason = "cold"
+		}
 		out.sendReset(e.Codec, e.Self, f, 0)
 		e.flows.Remove(f)
 	}
@@ -100,11 +105,14 @@
 // handleDecline sends a SYN that a host returned to another host.
 func (e *Entry) handleDecline(now time.Time, f gue.Flow, route *plan.Route, hl *hostLoad, packet []byte, hdr *Header, out *Output) {
 	hl.penalizeDecline(now, hdr.Mark.Code)
+	if hdr.Mark.isCold() {
+		hl.penalizeCold(now)
+	}
 	ef, known := e.flows.Get(f)
 	if !known {
 		return
 	}
-	ef.declines++
+	ef.countDecline(hdr.Mark)
 	if ef.stage == stageOpening && ef.holder == hl {
 		e.place(now, f, route, ef, packet, hdr, out)
 	}
--- a/kernel/plan/difference.go
+++ b/kernel/plan/difference.go
@@ -19,6 +19,8 @@
 	Changed []Change `json:"changed,omitempty"`
 	// IdleTimeoutChanged is true if the idle timeouts differ.
 	IdleTimeoutChanged bool `json:"idleTimeout,omitempty"`
+	// ServicesChanged is true if the descriptions of the services differ.
+	ServicesChanged bool `json:"services,omitempty"`
 }
 
 // Change holds the old and the new version of a changed route.
@@ -34,6 +36,7 @@
 		from = &Plan{}
 	}
 	d := Difference{From: from.Version, To: to.Version, IdleTimeoutChanged: from.IdleTimeout != to.IdleTimeout}
+	d.ServicesChanged = !slices.Equal(from.Services, to.Services)
 	before, after := routesByAddress(from), routesByAddress(to)
 	for a, r := range after {
 		old, found := before[a]
@@ -57,7 +60,7 @@
 
 // Empty reports whether the plans differ at most in their versions.
 func (d *Difference) Empty() bool {
-	return len(d.Added)+len(d.Removed)+len(d.Changed) == 0 && !d.IdleTimeoutChanged
+	return len(d.Added)+len(d.Removed)+len(d.Changed) == 0 && !d.IdleTimeoutChanged && !d.ServicesChanged
 }
 
 // routesByAddress returns the routes of a plan by address. It works for plans that are not indexed.
--- a/kernel/plan/plan.go
+++ b/kernel/plan/plan.go
@@ -30,6 +30,9 @@
 	// Version increases with each plan.
 	Version uint64  `json:"version"`
 	Routes  []Route `json:"routes"`
+	// Services holds the services that the plan describes. It is nil if the plan came from an instance of a build that
+	// does not know services.
+	Services []Service `json:"services"`
 	// IdleTimeout is how long a flow may be idle before it is discarded; 0 means a default.
 	IdleTimeout time.Duration `json:"idleTimeout"`
 
