Targets: the pace of a host that has just started or recovered follows its answers

Cause: a host that starts or recovers looks the emptiest of all, and all entries send to it at once. Change: kernel/pace limits a host's concurrent requests: it starts at a quarter of the slots, rises while answers are neither slow for their route nor late, falls otherwise, and is removed after two seconds at the slots. It refuses only first transmissions that another host may take.

--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -73,7 +73,7 @@
 		protocol: protocol,
 		flowAgent: &flow.Agent{
 			Self: s.Packets, Service: s.Service, Target: s.TargetPackets, Codec: components.Codec,
-			ColdLimits: flow.ColdLimits{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack},
+			ColdLimits: flow.ColdLimits{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack}, Paced: s.Pace,
 		},
 		tracker:  announce.Tracker{Service: s.Service},
 		recorder: dataplane.NewRecorder(logger, metrics.GetDefaultSet()),
@@ -94,6 +94,11 @@
 		defer a.mutex.Unlock()
 		return float64(a.flowAgent.FlowCount())
 	})
+	dataplane.RegisterGauge("coltsfootline_agent_pace", func() float64 {
+		a.mutex.Lock()
+		defer a.mutex.Unlock()
+		return float64(a.flowAgent.PaceLimit())
+	})
 	dataplane.RegisterGauge("coltsfootline_agent_cold", func() float64 {
 		a.mutex.Lock()
 		defer a.mutex.Unlock()
@@ -281,6 +286,8 @@
 		Digest:   a.node.Gossip.View().Digest,
 		Open:     a.flowAgent.FlowCount(),
 		Busy:     a.flowAgent.BusyFlowCount(),
+		Pace:     a.flowAgent.PaceLimit(),
+		Cold:     a.flowAgent.IsCold(time.Now()),
 	}, nil
 }
 
--- a/agent/cmd/settings.go
+++ b/agent/cmd/settings.go
@@ -64,6 +64,8 @@
 	// it times ColdOvershoot, plus ColdSlack. 0 means no limit.
 	ColdOvershoot float64 `yaml:"coldOvershoot"`
 	ColdSlack     float64 `yaml:"coldSlack"`
+	// Pace limits the concurrent requests of a target that started or recovered, until its answers are fast.
+	Pace bool `yaml:"pace"`
 }
 
 // Validate returns all violations in the settings.
--- a/coltsfootline/cmd/commands_test.go
+++ b/coltsfootline/cmd/commands_test.go
@@ -31,6 +31,8 @@
 	called []string
 	plan   *plan.Plan
 	trail  audit.Trail
+	// pace is the limit on requests that all agents report.
+	pace int
 }
 
 func newFakeInstances(t *testing.T) *fakeInstances {
@@ -53,7 +55,7 @@
 			return &peer.CallError{Peer: to, Method: method, Cause: context.DeadlineExceeded}
 		}
 	}
-	reply := any(peer.StatusReply{Digest: 7, Open: 5, Busy: 2, Waiting: 1})
+	reply := any(peer.StatusReply{Digest: 7, Open: 5, Busy: 2, Waiting: 1, Pace: f.pace, Cold: f.pace > 0})
 	switch method {
 	case peer.MethodReconcile:
 		reply = f.reconcile()
--- a/coltsfootline/cmd/hostsCmd.go
+++ b/coltsfootline/cmd/hostsCmd.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 
@@ -18,6 +19,8 @@
 	entry   entryFlag
 	service string
 	json    bool
+	// pace asks each agent for the limits of its target.
+	pace bool
 }
 
 func newHostsCmd(c ControlClient) *cobra.Command {
@@ -31,6 +34,7 @@
 	h.entry.add(cmd)
 	cmd.Flags().StringVar(&h.service, "service", "", "show this service alone")
 	cmd.Flags().BoolVar(&h.json, "json", false, "print JSON")
+	cmd.Flags().BoolVar(&h.pace, "pace", false, "ask each agent for the pace of its target and whether it is cold")
 	return cmd
 }
 
@@ -49,12 +53,41 @@
 	slices.SortFunc(all, func(a, b facts.Member) int {
 		return strings.Compare(a.Service+"\x00"+a.Instance, b.Service+"\x00"+b.Instance)
 	})
+	if h.pace {
+		return h.printPaces(cmd, all)
+	}
 	if h.json {
 		return json.NewEncoder(cmd.OutOrStdout()).Encode(all)
 	}
 	return printHosts(cmd.OutOrStdout(), all)
 }
 
+// printPaces asks the agents for the limits of their targets and prints them. The limits change too often to be known to
+// the entries.
+func (h *hostsCmd) printPaces(cmd *cobra.Command, agents []facts.Member) error {
+	asker := &statusCmd{client: h.client}
+	statuses := make([]InstanceStatus, 0, len(agents))
+	for _, m := range agents {
+		statuses = append(statuses, asker.query(cmd.Context(), m))
+	}
+	if h.json {
+		return json.NewEncoder(cmd.OutOrStdout()).Encode(statuses)
+	}
+	t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "SERVICE\tAGENT\tAGENT STATE\tREACHED\tBUSY\tSLOTS\tPACE\tCOLD")
+	for _, s := range statuses {
+		slots, pace := 0, "-"
+		if s.Target != nil {
+			slots = s.Target.Slots
+		}
+		if s.Pace > 0 {
+			pace = strconv.Itoa(s.Pace)
+		}
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%t\t%d\t%d\t%s\t%t\n", s.Service, s.Instance, s.State, s.Reached, s.Busy, slots, pace, s.Cold)
+	}
+	return t.Flush()
+}
+
 // printHosts prints a table of agents with their targets. An agent that knows no target has "-" instead.
 func printHosts(w io.Writer, all []facts.Member) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/coltsfootline/cmd/plan_test.go
+++ b/coltsfootline/cmd/plan_test.go
@@ -95,6 +95,10 @@
 	text, code := f.run("hosts")
 	require.Zero(t, code)
 	golden.Check(t, "testdata/hosts.golden", text)
+	f.pace = 2
+	text, code = f.run("hosts", "--pace")
+	require.Equal(t, 0, code)
+	golden.Check(t, "testdata/hostsPace.golden", text)
 	text, code = f.run("hosts", "--service", "drawings")
 	require.Zero(t, code)
 	require.NotContains(t, text, "catalogue")
--- a/coltsfootline/cmd/statusCmd.go
+++ b/coltsfootline/cmd/statusCmd.go
@@ -31,6 +31,10 @@
 	Open    int `json:"open"`
 	Busy    int `json:"busy"`
 	Waiting int `json:"waiting"`
+	// Pace is the limit on the concurrent requests of an agent's target, or 0 if there is none. Cold is set if its new
+	// flows are limited because it is cold.
+	Pace int  `json:"pace,omitempty"`
+	Cold bool `json:"cold,omitempty"`
 }
 
 func newStatusCmd(c ControlClient) *cobra.Command {
@@ -80,6 +84,7 @@
 	status.Reached = true
 	status.Digest = reply.Digest
 	status.Open, status.Busy, status.Waiting = reply.Open, reply.Busy, reply.Waiting
+	status.Pace, status.Cold = reply.Pace, reply.Cold
 	return status
 }
 
--- a/kernel/dataplane/recorder.go
+++ b/kernel/dataplane/recorder.go
@@ -93,39 +93,30 @@
 	c.Inc()
 }
 
+// actionEvents holds the events that log decisions, by action.
+var actionEvents = map[flow.Action]events.Event{
+	flow.ActionPlaced:           events.FlowPlaced,
+	flow.ActionPlacedAgain:      events.FlowPlacedAgain,
+	flow.ActionUnplaced:         events.FlowUnplaced,
+	flow.ActionSearched:         events.FlowSearched,
+	flow.ActionFound:            events.FlowFound,
+	flow.ActionReset:            events.FlowReset,
+	flow.ActionUncertain:        events.FlowUncertain,
+	flow.ActionRefused:          events.FlowRefused,
+	flow.ActionBounced:          events.FlowBounced,
+	flow.ActionRequestForwarded: events.RequestCarried,
+	flow.ActionAnswerLate:       events.AnswerLate,
+	flow.ActionProbed:           events.FlowsProbed,
+	flow.ActionTargetAbsent:     events.TargetAbsent,
+	flow.ActionCold:             events.HostCold,
+	flow.ActionWarm:             events.HostWarm,
+	flow.ActionPaceChanged:      events.PaceChanged,
+}
+
 // eventFor returns the event that logs decisions with an action.
 func eventFor(a flow.Action) events.Event {
-	switch a {
-	case flow.ActionPlaced:
-		return events.FlowPlaced
-	case flow.ActionPlacedAgain:
-		return events.FlowPlacedAgain
-	case flow.ActionUnplaced:
-		return events.FlowUnplaced
-	case flow.ActionSearched:
-		return events.FlowSearched
-	case flow.ActionFound:
-		return events.FlowFound
-	case flow.ActionReset:
-		return events.FlowReset
-	case flow.ActionUncertain:
-		return events.FlowUncertain
-	case flow.ActionRefused:
-		return events.FlowRefused
-	case flow.ActionBounced:
-		return events.FlowBounced
-	case flow.ActionRequestForwarded:
-		return events.RequestCarried
-	case flow.ActionAnswerLate:
-		return events.AnswerLate
-	case flow.ActionProbed:
-		return events.FlowsProbed
-	case flow.ActionTargetAbsent:
-		return events.TargetAbsent
-	case flow.ActionCold:
-		return events.HostCold
-	case flow.ActionWarm:
-		return events.HostWarm
+	if e, found := actionEvents[a]; found {
+		return e
 	}
 	return events.FlowDropped
 }
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -62,4 +62,5 @@
 	EarlierStartTaken   = define(535, "earlierStartTaken", slog.LevelWarn, "target restarted after its clock was set back: its earlier start was accepted, since it announced itself repeatedly and its previous process did not")
 	HostCold            = define(536, "hostCold", slog.LevelInfo, "target says that it is cold, its new flows are limited; count: requests per second that it can process meanwhile; ageMs: remaining time by its announcement")
 	HostWarm            = define(537, "hostWarm", slog.LevelInfo, "target is no longer cold, its new flows are not limited; ageMs: time since it was taken as cold")
+	PaceChanged         = define(538, "paceChanged", slog.LevelInfo, "limit on the concurrent requests of a target that started or recovered has changed; count: the limit, 0 if it is removed; ageMs: time of the last answer")
 )
--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -97,6 +97,8 @@
 	slots := max(a.target.Slots, 1)
 	a.expireHandshakes(now)
 	switch {
+	case a.busyCount < slots && !a.paceAllows(hdr):
+		return CodeBusy, "pace"
 	case a.busyCount < slots:
 		return CodeNone, ""
 	case hdr.Mark.Code != CodeForce:
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
+	"github.com/coltsfootline/coltsfootline/kernel/pace"
 	"github.com/coltsfootline/coltsfootline/kernel/plan"
 )
 
@@ -46,6 +47,8 @@
 	ObserveServiceTime func(seconds float64)
 	// ColdLimits bounds the new flows that the target gets while it is cold.
 	ColdLimits ColdLimits
+	// Paced limits the target's concurrent requests after its start or recovery.
+	Paced bool
 
 	plan *plan.Plan
 	// target is the latest known state of the target; lastHeartbeat is when the target itself last reported it.
@@ -59,6 +62,7 @@
 	sawAllSYNs bool
 	liveness   liveness
 	cold       coldGate
+	pace       pace.Pace[gue.Endpoint]
 	// lastTargetPacket is when the target last sent a packet.
 	lastTargetPacket time.Time
 	// digest holds the low 32 bits of the digest of the service's group, as known to this agent.
@@ -135,13 +139,14 @@
 func (a *Agent) UpdateTarget(now time.Time, t facts.Target, fromTarget bool, out *Output) {
 	a.ensureInitialized(now)
 	restarted := a.target != nil && !a.target.SameIncarnation(t)
-	if restarted || fromTarget && (a.target == nil || a.liveness.absent) {
-		a.cold.restart(now)
-	}
 	if fromTarget && (restarted || a.lastHeartbeat.IsZero()) && !a.liveness.absent {
 		a.sawAllSYNs = a.sawStartOf(now, t)
 	}
+	started := restarted || a.target == nil || fromTarget && a.liveness.absent
 	a.target = &t
+	if started {
+		a.noteTargetStart(now, out)
+	}
 	if fromTarget {
 		a.lastHeartbeat = now
 		a.noteTargetPresent()
--- a/kernel/flow/liveness.go
+++ b/kernel/flow/liveness.go
@@ -75,6 +75,7 @@
 	}
 	a.liveness.refusedSince = time.Time{}
 	a.cold.restart(now)
+	a.startPace("targetAbsent", out)
 	a.liveness.absent, a.sawAllSYNs = true, true
 	a.liveness.unansweredSYN = time.Time{}
 	ended := 0
--- a/kernel/flow/output.go
+++ b/kernel/flow/output.go
@@ -49,6 +49,8 @@
 	// ActionCold begins to limit the new flows of a host that is cold, and ActionWarm ends it.
 	ActionCold
 	ActionWarm
+	// ActionPaceChanged changes the limit on a target's concurrent requests.
+	ActionPaceChanged
 )
 
 // Decision records a decision about a flow and what it was based on.
--- a/kernel/flow/reply.go
+++ b/kernel/flow/reply.go
@@ -99,6 +99,7 @@
 		return
 	}
 	elapsed := now.Sub(af.busySince)
+	a.observePace(now, f, elapsed, out)
 	a.setIdle(af)
 	a.observeServiceTime(elapsed)
 	if a.ObserveServiceTime != nil {
--- a/kernel/peer/operations.go
+++ b/kernel/peer/operations.go
@@ -37,4 +37,8 @@
 	Open     int    `json:"open"`
 	Busy     int    `json:"busy"`
 	Waiting  int    `json:"waiting"`
+	// Pace is an agent's limit on the concurrent requests of its target, or 0 if there is none.
+	Pace int `json:"pace,omitempty"`
+	// Cold is set if the agent limits the new flows of its target because it is cold.
+	Cold bool `json:"cold,omitempty"`
 }
