Targets: a deregistration that arrives before any target is known does not become the agent's target

Cause: the agent took the ID of such a deregistration for its target's. The next announcement then counted as a restart that the agent had seen, so that it denied flows whose SYNs it had missed; the deregistration may be of another host's target. Change: only the ID is kept (ResultNoted), and the state from the store is taken as gone if it has that ID. Measured: go test ./kernel/announce ./agent/cmd passed.

--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -189,7 +189,7 @@
 	a.mutex.Lock()
 	previous, _ := a.tracker.Target()
 	target, result := a.tracker.Apply(now, announcement)
-	if result.Accepted() {
+	if result.Accepted() && result != announce.ResultNoted {
 		a.step(now, func(out *flow.Output) {
 			a.flowAgent.UpdateTarget(now, target, true, out)
 			if target.State != facts.TargetGone {
@@ -198,17 +198,17 @@
 		})
 	}
 	a.mutex.Unlock()
-	switch result {
-	case announce.ResultUnchanged, announce.ResultChanged:
+	switch {
+	case result.Accepted():
 		if target.StartedMs < previous.StartedMs {
 			events.EarlierStartTaken.Log(a.process.Logger, slog.String("target", target.ID),
 				slog.Int64("bornMs", target.StartedMs), slog.Int64("previousBornMs", previous.StartedMs))
 		}
 		a.publishTarget("announcement", announcement.Sequence)
 		return true
-	case announce.ResultUnproven:
+	case result == announce.ResultUnproven:
 		a.RecordRefusal(now, "unproven")
-	case announce.ResultStale:
+	case result == announce.ResultStale:
 		a.RecordRefusal(now, "late")
 	default:
 		a.RecordRefusal(now, "otherService")
@@ -241,7 +241,8 @@
 	a.flowAgent.NoteStoredTarget(*m.Target)
 	restored := a.tracker.Restore(*m.Target)
 	if restored {
-		a.step(now, func(out *flow.Output) { a.flowAgent.UpdateTarget(now, *m.Target, false, out) })
+		target, _ := a.tracker.Target()
+		a.step(now, func(out *flow.Output) { a.flowAgent.UpdateTarget(now, target, false, out) })
 	}
 	a.mutex.Unlock()
 	a.publishTarget("store", 0)
--- a/kernel/announce/tracker.go
+++ b/kernel/announce/tracker.go
@@ -17,6 +17,8 @@
 	// ResultUnproven means that the announcement is from an unknown incarnation with an earlier start than the known one,
 	// which has not shown yet that it runs. Its state was not taken into account.
 	ResultUnproven
+	// ResultNoted means that a deregistration was recorded while no target is known. Restore takes it into account.
+	ResultNoted
 	// ResultOtherService means that the announcement was ignored because its target belongs to another service.
 	ResultOtherService
 	// ResultUnchanged means that the announcement confirmed the known state of the target.
@@ -36,6 +38,8 @@
 	heard time.Time
 	// absent is set if the process of the known target was found not to exist.
 	absent bool
+	// deregistered is the ID of a target that deregistered while none was known.
+	deregistered string
 	// former holds the incarnations before the known one.
 	former    formerIncarnations
 	candidate candidate
@@ -43,7 +47,7 @@
 
 // Accepted reports whether the announcement was taken into account.
 func (r Result) Accepted() bool {
-	return r == ResultUnchanged || r == ResultChanged
+	return r == ResultUnchanged || r == ResultChanged || r == ResultNoted
 }
 
 // Restore sets the state of the target from the store, unless a state is already known, and reports whether it did.
@@ -52,6 +56,9 @@
 	if t.known {
 		return false
 	}
+	if target.ID == t.deregistered {
+		target.State = facts.TargetGone
+	}
 	t.target, t.known, t.sequence = target, true, 0
 	return true
 }
@@ -111,18 +118,18 @@
 }
 
 // applyGone processes the announcement of a target that terminates. It identifies the target only by its ID and has
-// neither a service, a start time nor a sequence number. If no target is known yet, the announcement is kept, so that
-// Restore does not bring the target back.
+// neither a service, a start time nor a sequence number. If no target is known yet, only its ID is kept, so that Restore
+// does not bring the target back: it may be a target of another agent.
 func (t *Tracker) applyGone(now time.Time, a Announcement) (facts.Target, Result) {
-	if t.known && a.Target.ID != t.target.ID {
+	switch {
+	case !t.known:
+		t.deregistered = a.Target.ID
+		return t.target, ResultNoted
+	case a.Target.ID != t.target.ID:
 		return t.target, ResultStale
-	}
-	if t.known && t.target.State == facts.TargetGone {
+	case t.target.State == facts.TargetGone:
 		return t.target, ResultUnchanged
 	}
-	if !t.known {
-		t.target, t.known = facts.Target{ID: a.Target.ID}, true
-	}
 	t.target.State, t.heard, t.candidate = facts.TargetGone, now, candidate{}
 	return t.target, ResultChanged
 }
