--- a/agent/cmd/settings.go
+++ b/agent/cmd/settings.go
@@ -65,6 +65,12 @@
 	TolerateDataCentres int `yaml:"tolerateDataCentres"`
 	// Evacuations makes the agent refuse new flows while its data centre is evacuated. It is used only with a Form.
 	Evacuations bool `yaml:"evacuations"`
+	// ColdOvershoot and ColdSlack bound the new flows of a cold target in any second to the rate that the plan gives for
+	// it times ColdOvershoot, plus ColdSlack. 0 means no limit.
+	ColdOvershoot float64 `yaml:"coldOvershoot"`
+	ColdSlack     float64 `yaml:"coldSlack"`
+	// Pace limits the concurrent requests of a target that started or recovered, until its answers are fast.
+	Pace bool `yaml:"pace"`
 }
 
 // Validate returns all violations in the settings.
@@ -117,6 +123,8 @@
 	v.RequireAddress(s.TargetPackets, "targetPackets")
 	v.RequireAddress(s.Outbound, "outbound")
 	v.RequireAddress(s.Announcements, "announcements")
+	v.Require(s.ColdOvershoot >= 0, "coldOvershoot", "a number of 0 or more; 0 means no limit")
+	v.Require(s.ColdSlack >= 0, "coldSlack", "a number of 0 or more")
 }
 
 // targetURL returns the parsed Target, or an empty URL if it is invalid.
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -68,4 +68,8 @@
 	TargetChanged       = define(520, "targetChanged", slog.LevelInfo, "target reported a change of its state")
 	AnnouncementRefused = define(521, "announcementRefused", slog.LevelWarn, "announcement rejected because it can't be decoded, is late or is for another service; see the reason")
 	PlanHistoryShort    = define(530, "planHistoryShort", slog.LevelInfo, "plans before the one that is now in use may be unknown; until the history reaches back to the oldest flow, searches ask the hosts of all services; ageMs: how far it reaches back")
+	EarlierStartTaken   = define(535, "earlierStartTaken", slog.LevelWarn, "target restarted after its clock was set back: its earlier start was accepted, since it announced itself repeatedly and its previous process did not")
+	HostCold            = define(536, "hostCold", slog.LevelInfo, "target says that it is cold, its new flows are limited; count: requests per second that it can process meanwhile; ageMs: remaining time by its announcement")
+	HostWarm            = define(537, "hostWarm", slog.LevelInfo, "target is no longer cold, its new flows are not limited; ageMs: time since it was taken as cold")
+	PaceChanged         = define(538, "paceChanged", slog.LevelInfo, "limit on the concurrent requests of a target that started or recovered has changed; count: the limit, 0 if it is removed; ageMs: time of the last answer")
 )
--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -13,6 +13,9 @@
 // one after its start, when targets are loaded most.
 const objectiveWithoutPlan = 150 * time.Millisecond
 
+// reasonCold is the reason for returning a SYN because the host is cold and has got all the flows that it may get.
+const reasonCold = "cold"
+
 // handshake is a flow whose SYN was sent to the target, and when.
 type handshake struct {
 	flow    gue.Flow
@@ -54,7 +57,11 @@
 
 // refuse returns a SYN to the entry.
 func (a *Agent) refuse(to netip.AddrPort, f gue.Flow, code Code, reason string, packet []byte, out *Output) {
-	a.Codec.SetMark(packet, Mark{Code: code})
+	mark := Mark{Code: code}
+	if reason == reasonCold {
+		mark.Value = coldValue
+	}
+	a.Codec.SetMark(packet, mark)
 	out.send(to, packet)
 	out.record(Decision{Action: ActionRefused, Flow: f, Reason: reason, PlanVersion: a.planVersion(), Count: a.busyCount})
 }
@@ -66,7 +73,7 @@
 	}
 }
 
-// checkNewFlow returns CodeNone if the target may receive a new flow. Otherwise it returns the code and the reason for
+// checkNewFlow returns CodeNone if the target may receive a new flow, which then counts if the target is cold. Otherwise it returns the code and the reason for
 // refusing the flow.
 func (a *Agent) checkNewFlow(now time.Time, f gue.Flow, hdr *Header) (Code, string) {
 	switch {
@@ -92,7 +99,13 @@
 			return CodeRefused, "noRoute"
 		}
 	}
-	return a.checkCapacity(now, route, hdr)
+	if code, reason := a.checkCapacity(now, route, hdr); code != CodeNone {
+		return code, reason
+	}
+	if !a.cold.admit(now, a.ColdLimits) {
+		return CodeBusy, reasonCold
+	}
+	return CodeNone, ""
 }
 
 // checkCapacity refuses a flow that would have to wait for a slot, unless the entry allows waiting and the flow can
@@ -102,6 +115,8 @@
 	slots := max(a.target.Slots, 1)
 	a.expireHandshakes(now)
 	switch {
+	case a.busyCount < slots && !a.paceAllows(hdr):
+		return CodeBusy, "pace"
 	case a.busyCount < slots:
 		return CodeNone, ""
 	case hdr.Mark.Code != CodeForce:
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
+	"github.com/coltsfootline/coltsfootline/kernel/pace"
 	"github.com/coltsfootline/coltsfootline/kernel/plan"
 )
 
@@ -47,6 +48,10 @@
 	// ObserveServiceTime, if not nil, is called with the time from each request to its answer, in seconds. The time of a
 	// flow's first request is measured from the flow's SYN.
 	ObserveServiceTime func(seconds float64)
+	// ColdLimits bounds the new flows that the target gets while it is cold.
+	ColdLimits ColdLimits
+	// Paced limits the target's concurrent requests after its start or recovery.
+	Paced bool
 
 	plan *plan.Plan
 	// target is the latest known state of the target; lastHeartbeat is when the target itself last reported it.
@@ -61,6 +66,8 @@
 	// target holds no other flows than the agent tracks.
 	sawAllSYNs bool
 	liveness   liveness
+	cold       coldGate
+	pace       pace.Pace[gue.Endpoint]
 	// lastTargetPacket is when the target last sent a packet.
 	lastTargetPacket time.Time
 	// group is the service's group, as known to this agent, or nil. digest and hostsDigest hold the low 32 bits of its
@@ -125,6 +132,7 @@
 func (a *Agent) SetPlan(p *plan.Plan) {
 	if a.plan == nil || p.Version >= a.plan.Version {
 		a.plan = p
+		a.cold.setPlan(p, a.Service)
 	}
 }
 
@@ -149,7 +157,11 @@
 	if fromTarget && (restarted || a.lastHeartbeat.IsZero()) && !a.liveness.absent {
 		a.sawAllSYNs = a.sawStartOf(now, t)
 	}
+	started := restarted || a.target == nil || fromTarget && a.liveness.absent
 	a.target = &t
+	if started {
+		a.noteTargetStart(now, out)
+	}
 	if fromTarget {
 		a.lastHeartbeat = now
 		a.noteTargetPresent()
@@ -159,8 +171,13 @@
 	}
 }
 
-// SetEvacuated tells the agent whether its data centre is evacuated. While it is, the agent refuses all new flows.
-func (a *Agent) SetEvacuated(_ time.Time, evacuated bool) {
+// SetEvacuated tells the agent whether its data centre is evacuated. While it is, the agent refuses all new flows. After
+// that, it takes the host as cold until a later announcement says that it is not, because the target may have become cold
+// while it got no flows.
+func (a *Agent) SetEvacuated(now time.Time, evacuated bool) {
+	if a.evacuated && !evacuated {
+		a.cold.restart(now)
+	}
 	a.evacuated = evacuated
 }
 
@@ -190,6 +207,7 @@
 func (a *Agent) ensureInitialized(now time.Time) {
 	if a.flows == nil {
 		a.started = now
+		a.cold.restart(now)
 		a.flows, _ = simplelru.NewLRU[gue.Flow, *agentFlow](maxTargetFlows, a.onEvict)
 	}
 }
--- a/kernel/flow/placement.go
+++ b/kernel/flow/placement.go
@@ -36,7 +36,7 @@
 		ef.holder.penalizeSYNTimeout(now, ef.waitingSince)
 	}
 	ef.lastPacket = now
-	ef.attempt, ef.placements = hdr.Attempt, 0
+	ef.attempt, ef.placements, ef.coldDeclines, ef.refusals = hdr.Attempt, 0, 0, 0
 	e.place(now, f, route, ef, packet, hdr, out)
 }
 
@@ -90,21 +90,16 @@
 }
 
 // abandonPlacement drops a SYN that could not be placed; the caller retransmits it. The last retransmission is answered
-// with a reset if every tried host returned the SYN, so that the caller does not have to wait for a timeout. So is each SYN
-// of a service whose hosts are all evacuated, because no retransmission can be placed.
+// with a reset if every tried host returned the SYN, so that the caller does not have to wait for a timeout. So is any
+// transmission if the hosts are all evacuated, or all cold and full, because no retransmission can be placed.
 func (e *Entry) abandonPlacement(now time.Time, f gue.Flow, service string, ef *entryFlow, hdr *Header, out *Output) {
 	d := Decision{
 		Action: ActionUnplaced, Flow: f, Reason: "silent", PlanVersion: e.plan.Version,
 		Count: ef.triedCount, AgeMs: now.Sub(ef.waitingSince).Milliseconds(),
 	}
 	e.setStage(ef, nil, stageIdle)
-	g := e.directory.Group(service)
-	evacuated := g != nil && g.onlyEvacuated()
-	if (evacuated || hdr.Attempt >= lastAttempt) && ef.declines == ef.triedCount {
-		d.Reason = "reset"
-		if evacuated {
-			d.Reason = "evacuated"
-		}
+	if reason := e.resetReason(now, service, ef, hdr); reason != "" {
+		d.Reason = reason
 		out.sendReset(e.Codec, e.Self, f, 0)
 		e.flows.Remove(f)
 	}
@@ -112,9 +107,28 @@
 	out.record(d)
 }
 
+// resetReason returns why the flow whose SYN could not be placed is to be reset, or "" if it is not.
+func (e *Entry) resetReason(now time.Time, service string, ef *entryFlow, hdr *Header) string {
+	g := e.directory.Group(service)
+	switch {
+	case ef.declines != ef.triedCount:
+		return ""
+	case g != nil && g.onlyEvacuated():
+		return "evacuated"
+	case e.allCold(now, g, ef):
+		return "cold"
+	case hdr.Attempt >= lastAttempt:
+		return "reset"
+	}
+	return ""
+}
+
 // handleDecline sends a SYN that a host returned to another host.
 func (e *Entry) handleDecline(now time.Time, f gue.Flow, route *plan.Route, hl *hostLoad, packet []byte, hdr *Header, out *Output) {
 	hl.penalizeDecline(now, hdr.Mark.Code)
+	if hdr.Mark.isCold() {
+		hl.penalizeCold(now)
+	}
 	ef, known := e.flows.Get(f)
 	if !known {
 		return
@@ -124,7 +138,7 @@
 		e.startFlow(now, f, route, packet, hdr, out)
 		return
 	}
-	ef.declines++
+	ef.countDecline(hdr.Mark)
 	if ef.stage == stageOpening && ef.holder == hl {
 		e.place(now, f, route, ef, packet, hdr, out)
 	}
