Agents report their room with returned SYNs, and entries compare it

Entries knew only their own flows, and avoided a host that returned a SYN for a fixed 40 or 60 ms. The agent's service time included the wait for a slot, so the wait was counted twice when it admitted a flow.

With CodeBusy it returns busy flows, slots, and the mean service times of all routes and of the SYN's route in the mark's value. Entries keep this per host with its age; it decays to what is typical of the hosts that reported. Only the first three candidates of a data centre are compared by it, in steps of a quarter of a service time, so that not all entries choose the one host that looked free.

--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -30,7 +30,7 @@
 		return
 	}
 	if code, reason := a.checkNewFlow(now, f, hdr); code != CodeNone {
-		a.Codec.SetMark(packet, Mark{Code: code})
+		a.Codec.SetMark(packet, Mark{Code: code, Value: a.roomFor(f, code)})
 		out.send(from, packet)
 		out.record(Decision{Action: ActionRefused, Flow: f, Reason: reason, PlanVersion: a.planVersion(), Count: a.busyCount})
 		return
@@ -74,15 +74,16 @@
 			return CodeRefused, "noRoute"
 		}
 	}
-	return a.checkCapacity(now, route, hdr)
+	return a.checkCapacity(now, f, route, hdr)
 }
 
 // checkCapacity refuses a flow that would have to wait for a slot, unless the entry allows waiting and the flow can
 // still be answered within its route's objective. The last retransmission of a SYN, and a flow without an objective,
 // may always wait; the target itself then bounces it if it cannot hold more flows.
-func (a *Agent) checkCapacity(now time.Time, route *plan.Route, hdr *Header) (Code, string) {
-	slots := max(a.target.Slots, 1)
+func (a *Agent) checkCapacity(now time.Time, f gue.Flow, route *plan.Route, hdr *Header) (Code, string) {
+	slots := a.slots()
 	a.expireHandshakes(now)
+	a.occupancy.fill(now, a.busyCount, slots)
 	switch {
 	case a.busyCount < slots:
 		return CodeNone, ""
@@ -95,8 +96,8 @@
 	if route != nil {
 		objective = route.Objective
 	}
-	wait := a.serviceTime * time.Duration(a.busyCount-slots+1) / time.Duration(slots)
-	if wait+a.serviceTime > objective {
+	wait := expectedWait(float64(a.busyCount), slots, a.serviceTimes.all.mean)
+	if wait+a.serviceTimes.of(f.Service) > objective {
 		return CodeBusy, "wait"
 	}
 	return CodeNone, ""
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -65,8 +65,9 @@
 	busyCount int
 	// handshakes holds the recently opened flows, oldest first.
 	handshakes []handshake
-	// serviceTime is the exponential moving average of the time from a request to the first byte of its answer.
-	serviceTime time.Duration
+	// occupancy tells which busy flows have a slot. serviceTimes holds for how long they have it.
+	occupancy    occupancy
+	serviceTimes serviceTimes
 }
 
 // agentFlow is an agent's state for one flow.
@@ -79,6 +80,9 @@
 	// packet of a later request.
 	busy      bool
 	busySince time.Time
+	// serving is set while the flow has a slot of the target, which it has had since servedSince.
+	serving     bool
+	servedSince time.Time
 	// requested is set once the caller has sent data.
 	requested bool
 	// nextSequence is the sequence number after the caller's latest data. It is valid if requested is set.
@@ -115,6 +119,7 @@
 func (a *Agent) SetPlan(p *plan.Plan) {
 	if a.plan == nil || p.Version >= a.plan.Version {
 		a.plan = p
+		a.serviceTimes.keep(func(route gue.Endpoint) bool { return p.Find(route) != nil })
 	}
 }
 
@@ -308,6 +313,7 @@
 	if !af.busy {
 		af.busy, af.busySince = true, now
 		a.busyCount++
+		a.occupancy.add(now, af, a.busyCount, a.slots())
 	}
 }
 
@@ -316,14 +322,10 @@
 	if af.busy {
 		af.busy = false
 		a.busyCount--
+		a.occupancy.remove(af)
 	}
 }
 
-// observeServiceTime adds a sample to the average time from a request to its answer.
-func (a *Agent) observeServiceTime(elapsed time.Duration) {
-	a.serviceTime += time.Duration(serviceTimeWeight * float64(elapsed-a.serviceTime))
-}
-
 // onEvict releases the load of a flow that is removed from the cache.
 func (a *Agent) onEvict(_ gue.Flow, af *agentFlow) {
 	a.setIdle(af)
--- a/kernel/flow/codec.go
+++ b/kernel/flow/codec.go
@@ -83,7 +83,8 @@
 type Mark struct {
 	Code Code
 	// Value is the low 32 bits of the plan version in SYNs sent to an agent, the entry's IPv4 address in packets sent to
-	// a target, and the low 32 bits of the digest of the agent's group in packets sent to an entry.
+	// a target, and in packets sent to an entry the room of the host with CodeBusy (0 from an agent of an older build) and
+	// the low 32 bits of the digest of the agent's group otherwise.
 	Value uint32
 }
 
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -66,6 +66,8 @@
 	flows *simplelru.LRU[gue.Flow, *entryFlow]
 	// hostLoads holds the load of each host, by instance name.
 	hostLoads map[string]*hostLoad
+	// rooms summarises what hosts reported of their room.
+	rooms roomSummary
 	// The buffers avoid allocations in chooseHost and searchGroupFor. candidateBuffer and loadBuffer hold the same hosts
 	// in the same order.
 	rankBuffer      []rankedHost
--- a/kernel/flow/load.go
+++ b/kernel/flow/load.go
@@ -11,9 +11,9 @@
 	// serviceTimeWeight is the weight of a new sample in the exponential moving averages of service times. About ten
 	// samples outweigh the old value.
 	serviceTimeWeight = 0.1
-	// busyPenalty is how long a host is reported to the policy as busy after CodeBusy, and not chosen after CodeFull. It
-	// is about the duration of one request.
-	busyPenalty = 40 * time.Millisecond
+	// defaultServiceTime is assumed for a host whose service time is unknown. It is about the mean service time of a request
+	// in the project's requirements.
+	defaultServiceTime = 30 * time.Millisecond
 	// refusedPenalty is how long a host is not chosen after CodeRefused. Within that time, the membership reports the
 	// state of the host.
 	refusedPenalty = 500 * time.Millisecond
@@ -35,8 +35,8 @@
 	// serviceTime is the exponential moving average of the time from a request to its answer, as seen by this entry. It
 	// is 0 before the first sample.
 	serviceTime time.Duration
-	// busyUntil is until when the host is reported to the policy as busy.
-	busyUntil time.Time
+	// room is what the host last reported with a returned SYN.
+	room room
 	// refusedUntil is until when the host is not chosen.
 	refusedUntil time.Time
 	// downSince is when the host was marked as down, or zero if it is up.
@@ -78,15 +78,16 @@
 	hl.serviceTime += time.Duration(serviceTimeWeight * float64(d-hl.serviceTime))
 }
 
-// penalizeDecline records that the host returned a SYN with the given code, and avoids the host for a while.
-func (hl *hostLoad) penalizeDecline(now time.Time, c Code) {
-	switch c {
+// penalizeDecline records that the host returned a SYN with the given mark, and what it reports of its room. A full host
+// is not chosen for the time of one request, in which its queue advances by its slots.
+func (hl *hostLoad) penalizeDecline(now time.Time, m Mark) {
+	switch m.Code {
 	case CodeRefused:
 		hl.refusedUntil = now.Add(refusedPenalty)
 	case CodeFull:
-		hl.refusedUntil = now.Add(busyPenalty)
+		hl.refusedUntil = now.Add(hl.meanServiceTime())
 	default:
-		hl.busyUntil = now.Add(busyPenalty)
+		hl.noteRoom(now, m.Value)
 	}
 }
 
@@ -100,6 +101,7 @@
 	e.rankBuffer = g.rank(f, e.DataCentre, e.rankBuffer)
 	e.candidateBuffer = e.candidateBuffer[:0]
 	e.loadBuffer = e.loadBuffer[:0]
+	typical := e.rooms.typical(now)
 	for _, r := range e.rankBuffer {
 		if len(e.candidateBuffer) == maxCandidates {
 			break
@@ -116,7 +118,7 @@
 			Flows:          hl.flows,
 			Slots:          r.host.Target.Slots,
 			ServiceTime:    hl.serviceTime,
-			Busy:           now.Before(hl.busyUntil),
+			Wait:           hl.expectedWait(now, typical),
 		})
 	}
 	if len(e.candidateBuffer) == 0 {
--- /dev/null
+++ b/kernel/flow/occupancy.go
@@ -0,0 +1,75 @@
+package flow
+
+import (
+	"slices"
+	"time"
+
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
+)
+
+// occupancy follows which of the busy flows have a slot of the target and which wait for one. A target serves flows in
+// the order in which they become busy, so the time that a flow has a slot can be told from the time that it waits. The
+// zero value is ready to use.
+type occupancy struct {
+	// serving counts the flows that have a slot.
+	serving int
+	// waiting holds the flows without a slot, oldest first. A flow that is not busy any more is skipped when its turn comes.
+	waiting []*agentFlow
+}
+
+// add takes a flow that becomes busy; busyCount includes it.
+func (o *occupancy) add(now time.Time, af *agentFlow, busyCount, slots int) {
+	if len(o.waiting) > 2*busyCount {
+		// Flows that ended while they waited outnumber the others.
+		o.waiting = slices.DeleteFunc(o.waiting, func(w *agentFlow) bool { return !w.busy || w.serving })
+	}
+	o.waiting = append(o.waiting, af)
+	o.fill(now, busyCount, slots)
+}
+
+// remove takes a flow that is not busy any more.
+func (o *occupancy) remove(af *agentFlow) {
+	if af.serving {
+		af.serving = false
+		o.serving--
+	}
+}
+
+// fill gives the free slots to the flows that wait.
+func (o *occupancy) fill(now time.Time, busyCount, slots int) {
+	for len(o.waiting) > 0 && o.serving < min(busyCount, slots) {
+		af := o.waiting[0]
+		o.waiting[0] = nil
+		o.waiting = o.waiting[1:]
+		if af.busy && !af.serving {
+			af.serving, af.servedSince = true, now
+			o.serving++
+		}
+	}
+	if len(o.waiting) > 0 && o.serving == busyCount {
+		// Nobody waits; what is left are flows that ended while they did.
+		clear(o.waiting)
+		o.waiting = o.waiting[:0]
+	}
+}
+
+// slots returns how many requests the target processes at once.
+func (a *Agent) slots() int {
+	if a.target == nil {
+		return 1
+	}
+	return max(a.target.Slots, 1)
+}
+
+// endRequest ends a flow's request at the first bytes of its answer. It returns the time that the request took, and
+// measures the part of it in which the request had a slot.
+func (a *Agent) endRequest(now time.Time, f gue.Flow, af *agentFlow) time.Duration {
+	a.occupancy.fill(now, a.busyCount, a.slots())
+	elapsed := now.Sub(af.busySince)
+	if af.serving {
+		a.serviceTimes.observe(f.Service, now.Sub(af.servedSince))
+	}
+	a.setIdle(af)
+	a.occupancy.fill(now, a.busyCount, a.slots())
+	return elapsed
+}
--- a/kernel/flow/placement.go
+++ b/kernel/flow/placement.go
@@ -99,7 +99,10 @@
 
 // handleDecline sends a SYN that a host returned to another host.
 func (e *Entry) handleDecline(now time.Time, f gue.Flow, route *plan.Route, hl *hostLoad, packet []byte, hdr *Header, out *Output) {
-	hl.penalizeDecline(now, hdr.Mark.Code)
+	hl.penalizeDecline(now, hdr.Mark)
+	if hdr.Mark.Code == CodeBusy {
+		e.rooms.add(now, hl.room)
+	}
 	ef, known := e.flows.Get(f)
 	if !known {
 		return
--- a/kernel/flow/reply.go
+++ b/kernel/flow/reply.go
@@ -98,9 +98,7 @@
 	if !af.busy {
 		return
 	}
-	elapsed := now.Sub(af.busySince)
-	a.setIdle(af)
-	a.observeServiceTime(elapsed)
+	elapsed := a.endRequest(now, f, af)
 	if a.ObserveServiceTime != nil {
 		a.ObserveServiceTime(elapsed.Seconds())
 	}
--- a/kernel/placement/flowPolicy.go
+++ b/kernel/placement/flowPolicy.go
@@ -20,8 +20,9 @@
 	Slots int
 	// ServiceTime is the recent average service time of this entry's requests, or 0 if unknown.
 	ServiceTime time.Duration
-	// Busy is true if the host recently reported that it had no free slot.
-	Busy bool
+	// Wait is the time that a flow is expected to wait for a slot, by what the host recently reported of its room. It is 0
+	// if nothing is known.
+	Wait time.Duration
 }
 
 // FlowPolicy selects the host for a new flow.
@@ -89,9 +90,6 @@
 	// remotePenalty is added to the expected response time of a host in another data centre, because traffic between
 	// data centres is billed and adds a round trip to each request.
 	remotePenalty = 15 * time.Millisecond
-	// busyPenalty is added to the expected response time of a host that recently reported that it had no free slot. It is
-	// about the service time of one request.
-	busyPenalty = 60 * time.Millisecond
 )
 
 // Choose returns the candidate with the lowest expected response time, including penalties.
@@ -105,9 +103,10 @@
 	if flows > 0 {
 		requestsPerFlow = float64(outstanding) / float64(flows)
 	}
+	waits := comparedWaits{}
 	best, lowest := 0, time.Duration(0)
 	for i, c := range candidates {
-		cost := c.expectedResponseTime(requestsPerFlow)
+		cost := c.expectedResponseTime(requestsPerFlow) + waits.next(c)
 		if i == 0 || cost < lowest {
 			best, lowest = i, cost
 		}
@@ -115,21 +114,55 @@
 	return best
 }
 
+// comparedReports is how many hosts of a data centre are compared by what they reported. All entries know much the same
+// of a host that looks free, so with a comparison of all candidates a fifth of a fleet's flows would go there at once.
+const comparedReports = 3
+
+// waitSteps is how many different waits within one service time count. Smaller differences between old reports are
+// chance, but would decide between hosts that are equal otherwise.
+const waitSteps = 4
+
+// comparedWaits limits the comparison by reports to the first candidates of each data centre: no further one counts as
+// emptier than these.
+type comparedWaits [2]struct {
+	seen  int
+	least time.Duration
+}
+
+// next returns the expected wait to use for the next candidate.
+func (w *comparedWaits) next(c FlowCandidate) time.Duration {
+	step := max(c.serviceTime()/waitSteps, 1)
+	wait := c.Wait / step * step
+	side := &w[0]
+	if !c.SameDataCentre {
+		side = &w[1]
+	}
+	if side.seen == comparedReports {
+		return max(wait, side.least)
+	}
+	if side.seen == 0 || wait < side.least {
+		side.least = wait
+	}
+	side.seen++
+	return wait
+}
+
+func (c FlowCandidate) serviceTime() time.Duration {
+	if c.ServiceTime == 0 {
+		return defaultServiceTime
+	}
+	return c.ServiceTime
+}
+
 // expectedResponseTime estimates the response time of a request on the host, including penalties. The service time is
 // scaled up with the share of the host's slots that this entry occupies, because other entries use the host too. Idle
 // flows count with the present average number of requests per flow, which distributes long-lived flows evenly.
 func (c FlowCandidate) expectedResponseTime(requestsPerFlow float64) time.Duration {
-	serviceTime := c.ServiceTime
-	if serviceTime == 0 {
-		serviceTime = defaultServiceTime
-	}
+	serviceTime := c.serviceTime()
 	load := (float64(c.Outstanding) + requestsPerFlow*float64(c.Flows)) / 2
 	cost := serviceTime + time.Duration(float64(serviceTime)*load/float64(max(c.Slots, 1)))
 	if !c.SameDataCentre {
 		cost += remotePenalty
 	}
-	if c.Busy {
-		cost += busyPenalty
-	}
 	return cost
 }
--- a/kernel/placement/flowPolicy_test.go
+++ b/kernel/placement/flowPolicy_test.go
@@ -18,7 +18,7 @@
 		"slower host":                 {[]FlowCandidate{{ServiceTime: 150 * time.Millisecond, Slots: 4}, {ServiceTime: 30 * time.Millisecond, Slots: 4}}, 1},
 		"same data centre":            {[]FlowCandidate{{Slots: 4}, {SameDataCentre: true, Slots: 4}}, 1},
 		"same data centre but loaded": {[]FlowCandidate{{Slots: 4}, {SameDataCentre: true, Outstanding: 8, Flows: 8, Slots: 4}}, 0},
-		"reported busy":               {[]FlowCandidate{{SameDataCentre: true, Busy: true, Slots: 4}, {Slots: 4}}, 1},
+		"reported busy":               {[]FlowCandidate{{SameDataCentre: true, Wait: 60 * time.Millisecond, Slots: 4}, {Slots: 4}}, 1},
 		"many idle flows":             {[]FlowCandidate{{Outstanding: 1, Flows: 30, Slots: 4}, {Outstanding: 1, Flows: 10, Slots: 4}}, 1},
 		"tie goes to first candidate": {[]FlowCandidate{{Slots: 4}, {Slots: 4}}, 0},
 	} {
@@ -27,7 +27,7 @@
 }
 
 func TestHashFlowPolicyChoosesFirstCandidate(t *testing.T) {
-	require.Zero(t, HashFlowPolicy{}.Choose([]FlowCandidate{{Busy: true}, {}}))
+	require.Zero(t, HashFlowPolicy{}.Choose([]FlowCandidate{{Wait: time.Second}, {}}))
 }
 
 func TestRoundRobinChoosesEachInTurn(t *testing.T) {
