Routes of one service compete by their priority

Under overload a burst of one route filled the queues of all targets, and routes of higher priority lost their share.

Where the routes of a service have different priorities, an agent measures what routes of higher priority want of its slots, over 500 ms. A flow that finds a free slot is admitted as before. A flow of lower priority that would have to wait is returned ("priority") if it could not be answered within its objective behind the others, or if it would use the part of the target's queue that they want. The length of the queue is learned from SYNs that the target bounces. The last retransmission of a flow of lower priority is no exception.

--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -79,7 +79,8 @@
 
 // checkCapacity refuses a flow that would have to wait for a slot, unless the entry allows waiting and the flow can
 // still be answered within its route's objective. The last retransmission of a SYN, and a flow without an objective,
-// may always wait; the target itself then bounces it if it cannot hold more flows.
+// may always wait, unless routes of higher priority want the host; the target itself then bounces it if it cannot hold
+// more flows.
 func (a *Agent) checkCapacity(now time.Time, f gue.Flow, route *plan.Route, hdr *Header) (Code, string) {
 	slots := a.slots()
 	a.expireHandshakes(now)
@@ -89,18 +90,12 @@
 		return CodeNone, ""
 	case hdr.Mark.Code != CodeForce:
 		return CodeBusy, "busy"
-	case hdr.Attempt >= lastAttempt || route != nil && route.Objective == 0:
-		return CodeNone, ""
 	}
 	objective := objectiveWithoutPlan
 	if route != nil {
 		objective = route.Objective
 	}
-	wait := expectedWait(float64(a.busyCount), slots, a.serviceTimes.all.mean)
-	if wait+a.serviceTimes.of(f.Service) > objective {
-		return CodeBusy, "wait"
-	}
-	return CodeNone, ""
+	return a.checkWait(now, f, route, slots, hdr.Attempt < lastAttempt && objective > 0, objective)
 }
 
 // expireHandshakes stops counting flows as load if their caller sent no data after the SYN. Most of these SYNs were
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -68,6 +68,8 @@
 	// occupancy tells which busy flows have a slot. serviceTimes holds for how long they have it.
 	occupancy    occupancy
 	serviceTimes serviceTimes
+	// competition holds what the routes of the service want by their priority.
+	competition competition
 }
 
 // agentFlow is an agent's state for one flow.
@@ -120,6 +122,7 @@
 	if a.plan == nil || p.Version >= a.plan.Version {
 		a.plan = p
 		a.serviceTimes.keep(func(route gue.Endpoint) bool { return p.Find(route) != nil })
+		a.competition.setPlan(p, a.Service)
 	}
 }
 
--- a/kernel/flow/occupancy.go
+++ b/kernel/flow/occupancy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
+	"github.com/coltsfootline/coltsfootline/kernel/plan"
 )
 
 // occupancy follows which of the busy flows have a slot of the target and which wait for one. A target serves flows in
@@ -61,13 +62,23 @@
 	return max(a.target.Slots, 1)
 }
 
+// route returns the flow's route, or nil if the agent has no plan or the plan in force has no such route.
+func (a *Agent) route(f gue.Flow) *plan.Route {
+	if a.plan == nil {
+		return nil
+	}
+	return a.plan.Find(f.Service)
+}
+
 // endRequest ends a flow's request at the first bytes of its answer. It returns the time that the request took, and
 // measures the part of it in which the request had a slot.
 func (a *Agent) endRequest(now time.Time, f gue.Flow, af *agentFlow) time.Duration {
 	a.occupancy.fill(now, a.busyCount, a.slots())
 	elapsed := now.Sub(af.busySince)
 	if af.serving {
-		a.serviceTimes.observe(f.Service, now.Sub(af.servedSince))
+		held := now.Sub(af.servedSince)
+		a.serviceTimes.observe(f.Service, held)
+		a.competition.observe(now, a.route(f), held)
 	}
 	a.setIdle(af)
 	a.occupancy.fill(now, a.busyCount, a.slots())
--- a/kernel/flow/reply.go
+++ b/kernel/flow/reply.go
@@ -44,6 +44,7 @@
 	code := CodeNotHere
 	if hdr.SYN {
 		code = CodeFull
+		a.noteBounce()
 	}
 	a.Codec.SetMark(packet, Mark{Code: code, Value: a.digest})
 	out.send(a.entryAddress(value), packet)
@@ -68,6 +69,7 @@
 	switch {
 	case hdr.SYNACK:
 		af.synAckSequence, af.synAckSeen = hdr.Sequence, true
+		a.noteAccepted()
 	case hdr.RST:
 		a.setIdle(af)
 		af.state, af.callerClosed = stateClosed, true
--- a/kernel/plan/difference.go
+++ b/kernel/plan/difference.go
@@ -87,5 +87,11 @@
 	if r.Objective > 0 {
 		text += " within " + r.Objective.String()
 	}
+	if r.Deadline > 0 {
+		text += " deadline " + r.Deadline.String()
+	}
+	if r.Priority > 0 {
+		text += fmt.Sprintf(" priority %d", r.Priority)
+	}
 	return text
 }
--- a/kernel/plan/plan.go
+++ b/kernel/plan/plan.go
@@ -23,6 +23,10 @@
 	Shares []Share `json:"shares"`
 	// Objective is the target latency of a request; 0 means none.
 	Objective time.Duration `json:"objective,omitempty"`
+	// Deadline is the time after which a request's answer is worth nothing; 0 means none.
+	Deadline time.Duration `json:"deadline,omitempty"`
+	// Priority orders the routes of a service under contention; 0 is the highest.
+	Priority int `json:"priority,omitempty"`
 }
 
 // Plan is one version of the operator's plan. It must not be modified after Index.
