An entry refuses hopeless flows at once where a new try is likely to succeed

A SYN that all hosts returned was left to its copies at 200 and 600 ms. By then it had missed an objective of 200 or 250 ms, but still took a slot from flows that could meet theirs.

Where the plan gives a route an objective and a deadline, the entry now resets such a flow if all hosts asked returned it for their load, the next copy could not be answered in time by the shortest queue reported, and at most half of the route's flows of the last 500 ms were turned away. A second copy may wait for a slot if the objective leaves time. New counters: refusals by reason and priority, placements by data centre. New event: flowRefusedAtOnce (550).

--- a/kernel/dataplane/recorder.go
+++ b/kernel/dataplane/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,6 +18,7 @@
 
 	limiter   events.Limiter
 	decisions map[decisionKey]*metrics.Counter
+	admission map[admissionKey]*metrics.Counter
 	sent      *metrics.Counter
 	unsent    *metrics.Counter
 	dropped   map[gue.Reason]*metrics.Counter
@@ -33,12 +35,21 @@
 	reason string
 }
 
+// admissionKey holds the labels of a counter of placements or refusals.
+type admissionKey struct {
+	placed   bool
+	remote   bool
+	reason   string
+	priority int
+}
+
 // NewRecorder returns a Recorder whose packet counters are registered in s. The counters of decisions are registered in
 // the default set.
 func NewRecorder(l *slog.Logger, s *metrics.Set) *Recorder {
 	r := &Recorder{
 		Logger:    l,
 		decisions: map[decisionKey]*metrics.Counter{},
+		admission: map[admissionKey]*metrics.Counter{},
 		sent:      s.GetOrCreateCounter("coltsfootline_flow_packets_sent_total"),
 		unsent:    s.GetOrCreateCounter("coltsfootline_flow_packets_unsent_total"),
 		dropped:   map[gue.Reason]*metrics.Counter{},
@@ -61,6 +72,7 @@
 	}
 	for _, d := range out.Decisions {
 		r.countDecision(d)
+		r.countAdmission(d)
 		e := eventFor(d.Action)
 		if !r.limiter.Allow(now, e) {
 			continue
@@ -93,6 +105,31 @@
 	c.Inc()
 }
 
+// countAdmission counts placements by data centre, and refusals by reason and by the priority of the route.
+func (r *Recorder) countAdmission(d flow.Decision) {
+	var k admissionKey
+	switch d.Action {
+	case flow.ActionPlaced, flow.ActionPlacedAgain:
+		k = admissionKey{placed: true, remote: d.Remote}
+	case flow.ActionRefused, flow.ActionUnplaced:
+		k = admissionKey{reason: d.Reason, priority: d.Priority}
+	case flow.ActionRefusedAtOnce:
+		k = admissionKey{reason: "atOnce", priority: d.Priority}
+	default:
+		return
+	}
+	c := r.admission[k]
+	if c == nil {
+		name := `coltsfootline_flow_refusals_total{reason="` + k.reason + `",priority="` + strconv.Itoa(k.priority) + `"}`
+		if k.placed {
+			name = `coltsfootline_flow_placements_total{otherDataCentre="` + strconv.FormatBool(k.remote) + `"}`
+		}
+		c = metrics.GetOrCreateCounter(name)
+		r.admission[k] = c
+	}
+	c.Inc()
+}
+
 // eventFor returns the event that logs decisions with an action.
 func eventFor(a flow.Action) events.Event {
 	switch a {
@@ -120,6 +157,8 @@
 		return events.AnswerLate
 	case flow.ActionProbed:
 		return events.FlowsProbed
+	case flow.ActionRefusedAtOnce:
+		return events.FlowRefusedAtOnce
 	case flow.ActionTargetAbsent:
 		return events.TargetAbsent
 	}
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -57,6 +57,7 @@
 	RequestCarried      = define(511, "requestCarried", slog.LevelInfo, "request forwarded to the target; count: requests in flight, ageMs: time since the flow became busy, with its SYN or with a later request")
 	AnswerLate          = define(512, "answerLate", slog.LevelInfo, "target started its response later than the route's objective; count: other requests in flight, ageMs: time since the flow became busy")
 	TargetAbsent        = define(513, "targetAbsent", slog.LevelWarn, "process of the target does not exist; its flows are reset and new ones refused until it announces itself; count: flows that were open")
+	FlowRefusedAtOnce   = define(550, "flowRefusedAtOnce", slog.LevelInfo, "flow reset because all hosts asked returned its SYN for their load and the next copy of the SYN could not be answered within the route's objective; count: hosts asked, ageMs: time since the flow was last placed")
 	TargetChanged       = define(520, "targetChanged", slog.LevelInfo, "target reported a change of its state")
 	AnnouncementRefused = define(521, "announcementRefused", slog.LevelWarn, "announcement rejected because it can't be decoded, is late or is for another service; see the reason")
 )
--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -32,7 +32,7 @@
 	if code, reason := a.checkNewFlow(now, f, hdr); code != CodeNone {
 		a.Codec.SetMark(packet, Mark{Code: code, Value: a.roomFor(f, code)})
 		out.send(from, packet)
-		out.record(Decision{Action: ActionRefused, Flow: f, Reason: reason, PlanVersion: a.planVersion(), Count: a.busyCount})
+		out.record(Decision{Action: ActionRefused, Flow: f, Reason: reason, PlanVersion: a.planVersion(), Priority: a.priority(f), Count: a.busyCount})
 		return
 	}
 	af = &agentFlow{state: stateOpening, busySince: now, lastPacket: now}
@@ -94,6 +94,9 @@
 	objective := objectiveWithoutPlan
 	if route != nil {
 		objective = route.Objective
+		if hdr.Attempt < lastAttempt && refusesAtOnce(route) {
+			objective = max(objective-sinceFirstCopy(hdr.Attempt), 1)
+		}
 	}
 	return a.checkWait(now, f, route, slots, hdr.Attempt < lastAttempt && objective > 0, objective)
 }
--- a/kernel/flow/competition.go
+++ b/kernel/flow/competition.go
@@ -151,3 +151,11 @@
 		a.competition.noteAccepted(a.busyCount, a.target.StartedMs)
 	}
 }
+
+// priority returns the priority of the flow's route, or 0 if that is unknown.
+func (a *Agent) priority(f gue.Flow) int {
+	if r := a.route(f); r != nil {
+		return r.Priority
+	}
+	return 0
+}
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -68,6 +68,8 @@
 	hostLoads map[string]*hostLoad
 	// rooms summarises what hosts reported of their room.
 	rooms roomSummary
+	// chances holds how many flows of each route were turned away.
+	chances routeChances
 	// The buffers avoid allocations in chooseHost and searchGroupFor. candidateBuffer and loadBuffer hold the same hosts
 	// in the same order.
 	rankBuffer      []rankedHost
@@ -82,8 +84,9 @@
 	// triedHosts are the hosts that the flow's SYNs were sent to.
 	triedHosts [maxTriedHosts]*hostLoad
 	triedCount int
-	// declines counts how many times hosts returned the flow's SYNs.
-	declines int
+	// declines counts how many times hosts returned the flow's SYNs, and loadDeclines how many times for their load.
+	declines     int
+	loadDeclines int
 	// attempt is the Header.Attempt of the latest SYN; placements is how many times that SYN was sent to a host.
 	attempt    uint32
 	placements int
--- a/kernel/flow/output.go
+++ b/kernel/flow/output.go
@@ -44,6 +44,8 @@
 	ActionRequestForwarded
 	// ActionAnswerLate forwards an answer that missed the route's objective.
 	ActionAnswerLate
+	// ActionRefusedAtOnce resets a flow that all hosts returned and that can't meet its objective any more.
+	ActionRefusedAtOnce
 	// ActionTargetAbsent ends the flows of a target whose process no longer exists.
 	ActionTargetAbsent
 )
@@ -59,6 +61,10 @@
 	Reason string
 	// Request is the ID of the request, if known.
 	Request string
+	// Priority is the priority of the flow's route. It is set for placements and refusals.
+	Priority int
+	// Remote is set if the flow was placed on a host of another data centre.
+	Remote bool
 	// PlanVersion is the version of the plan that the decision used.
 	PlanVersion uint64
 	// Count depends on the action: a number of hosts, such as those asked, or of requests in progress or flows probed.
--- a/kernel/flow/overload_test.go
+++ b/kernel/flow/overload_test.go
@@ -41,9 +41,11 @@
 
 // model runs entries, agents, targets and callers with delays. It is deterministic for a seed.
 type model struct {
-	now          time.Time
-	end          time.Time
-	random       *rand.Rand
+	now    time.Time
+	end    time.Time
+	random *rand.Rand
+	// arrivals is separate, so that two runs of a seed have the same requests.
+	arrivals     *rand.Rand
 	events       eventQueue
 	sequence     int
 	kinds        []kind
@@ -53,8 +55,8 @@
 	dataCentre   map[netip.Addr]string
 	callers      map[gue.Endpoint]*modelRequest
 	callerNumber int
-	// placed counts SYNs that targets accepted, by the data centres of the entry and the host and by second.
-	placed   map[[2]string]int
+	// work is how long a target processes the request of a caller.
+	work     map[gue.Endpoint]time.Duration
 	onAccept func(entry, host string)
 	// rate is the number of requests in a second that begin in a data centre.
 	rate func(dataCentre string) float64
@@ -89,6 +91,7 @@
 	caller     gue.Endpoint
 	entry      *Entry
 	answered   bool
+	work       time.Duration
 }
 
 // modelHost is an agent with a target that serves flows in order and bounces SYNs that its queue can't hold.
@@ -104,8 +107,8 @@
 // newModel returns a model with the given numbers of entries and hosts in each data centre.
 func newModel(seed uint64, kinds []kind, dataCentres map[string][2]int) *model {
 	m := &model{
-		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), kinds: kinds, results: make([]kindResult, len(kinds)),
-		hosts: map[netip.Addr]*modelHost{}, dataCentre: map[netip.Addr]string{}, callers: map[gue.Endpoint]*modelRequest{}, placed: map[[2]string]int{},
+		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1)), arrivals: rand.New(rand.NewPCG(seed, 2)), kinds: kinds, results: make([]kindResult, len(kinds)),
+		hosts: map[netip.Addr]*modelHost{}, dataCentre: map[netip.Addr]string{}, callers: map[gue.Endpoint]*modelRequest{}, work: map[gue.Endpoint]time.Duration{},
 	}
 	p := &plan.Plan{Version: 1}
 	for _, k := range kinds {
@@ -188,13 +191,18 @@
 	if m.now.After(m.end) {
 		return
 	}
-	share, k := m.random.Float64(), 0
+	share, k := m.arrivals.Float64(), 0
 	for share -= m.kinds[0].share; share >= 0 && k < len(m.kinds)-1; share -= m.kinds[k].share {
 		k++
 	}
 	m.results[k].asked++
-	m.open(&modelRequest{kind: k, dataCentre: dataCentre, begun: m.now})
-	m.after(time.Duration(m.random.ExpFloat64()/m.rate(dataCentre)*float64(time.Second)), func() { m.arrive(dataCentre) })
+	// The sum of four exponential times has half its mean as standard deviation.
+	work := 0.0
+	for range 4 {
+		work += m.arrivals.ExpFloat64() / 4
+	}
+	m.open(&modelRequest{kind: k, dataCentre: dataCentre, begun: m.now, work: time.Duration(work * float64(m.kinds[k].work))})
+	m.after(time.Duration(m.arrivals.ExpFloat64()/m.rate(dataCentre)*float64(time.Second)), func() { m.arrive(dataCentre) })
 }
 
 // open opens a flow for a request, or ends the request if it has had its tries.
@@ -213,7 +221,7 @@
 		}
 	}
 	r.entry = near[m.random.IntN(len(near))]
-	m.callers[r.caller] = r
+	m.callers[r.caller], m.work[r.caller] = r, r.work
 	c := r.caller
 	for attempt, at := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
 		m.after(at, func() {
@@ -301,13 +309,7 @@
 		f := h.queue[0]
 		h.queue = h.queue[1:]
 		h.serving++
-		i := slices.IndexFunc(m.kinds, func(k kind) bool { return k.route.Address == f.Service })
-		// The sum of four exponential times has half its mean as standard deviation.
-		work := 0.0
-		for range 4 {
-			work += m.random.ExpFloat64() / 4
-		}
-		m.after(time.Duration(work*float64(m.kinds[i].work)), func() {
+		m.after(m.work[f.Caller], func() {
 			h.serving--
 			delete(h.held, f)
 			m.fromTarget(h, encode(Header{Source: f.Service, Destination: f.Caller, Length: 1, Sequence: 2}))
--- a/kernel/flow/placement.go
+++ b/kernel/flow/placement.go
@@ -35,16 +35,19 @@
 	if ef.stage == stageOpening && hdr.Attempt > ef.attempt {
 		ef.holder.penalizeSYNTimeout(now, ef.waitingSince)
 	}
+	if hdr.Attempt == 0 {
+		e.chances.noteArrival(now, route)
+	}
 	ef.lastPacket = now
 	ef.attempt, ef.placements = hdr.Attempt, 0
 	e.place(now, f, route, ef, packet, hdr, out)
 }
 
-// mayWait reports whether the flow may wait for a slot. A flow whose SYN was retransmitted once has already missed its
-// objective and takes only free slots, so that it does not delay flows that can still meet theirs. The last
+// mayWait reports whether the flow may wait for a slot. A flow whose SYN was retransmitted once has usually missed its
+// objective. Then it takes only free slots, so that it does not delay flows that can still meet theirs. The last
 // retransmission may wait because the caller gives up after it.
-func (ef *entryFlow) mayWait() bool {
-	return ef.attempt == 0 || ef.attempt >= lastAttempt
+func (ef *entryFlow) mayWait(route *plan.Route) bool {
+	return ef.attempt == 0 || ef.attempt >= lastAttempt || refusesAtOnce(route) && sinceFirstCopy(ef.attempt) < route.Objective
 }
 
 // place sends a SYN to the host that the policy chooses among the hosts that have not been tried. If there is none, or
@@ -53,12 +56,12 @@
 	service := route.SelectService(f)
 	mark := Mark{Value: uint32(e.plan.Version)}
 	hl := e.chooseHost(now, f, service, ef, false)
-	if ef.mayWait() && (hl == nil || ef.placements >= freeSlotTries) {
+	if ef.mayWait(route) && (hl == nil || ef.placements >= freeSlotTries) {
 		hl = e.chooseHost(now, f, service, ef, true)
 		mark.Code = CodeForce
 	}
 	if hl == nil || ef.placements == maxPlacements {
-		e.abandonPlacement(now, f, ef, hdr, out)
+		e.abandonPlacement(now, f, route, ef, hdr, out)
 		return
 	}
 	action := ActionPlaced
@@ -76,19 +79,24 @@
 	e.forward(hl, packet, mark, out)
 	out.record(Decision{
 		Action: action, Flow: f, Instance: hl.host.Instance, Reason: service, PlanVersion: e.plan.Version,
-		Count: hl.outstanding, AgeMs: hl.serviceTime.Milliseconds(),
+		Priority: route.Priority, Remote: hl.host.DataCentre != e.DataCentre, Count: hl.outstanding, AgeMs: hl.serviceTime.Milliseconds(),
 	})
 }
 
 // abandonPlacement drops a SYN that could not be placed; the caller retransmits it. The last retransmission is answered
-// with a reset if every tried host returned the SYN, so that the caller does not have to wait for a timeout.
-func (e *Entry) abandonPlacement(now time.Time, f gue.Flow, ef *entryFlow, hdr *Header, out *Output) {
+// with a reset if every tried host returned the SYN, so that the caller does not have to wait for a timeout. So is an
+// earlier copy if the flow is hopeless.
+func (e *Entry) abandonPlacement(now time.Time, f gue.Flow, route *plan.Route, ef *entryFlow, hdr *Header, out *Output) {
 	d := Decision{
-		Action: ActionUnplaced, Flow: f, Reason: "silent", PlanVersion: e.plan.Version,
+		Action: ActionUnplaced, Flow: f, Reason: "silent", PlanVersion: e.plan.Version, Priority: route.Priority,
 		Count: ef.triedCount, AgeMs: now.Sub(ef.waitingSince).Milliseconds(),
 	}
 	e.setStage(ef, nil, stageIdle)
-	if hdr.Attempt >= lastAttempt && ef.declines == ef.triedCount {
+	hopeless := hdr.Attempt < lastAttempt && ef.isHopeless(route) && e.chances.noteTurnedAway(now, route, hdr.Attempt)
+	if hopeless {
+		d.Action = ActionRefusedAtOnce
+	}
+	if hopeless || hdr.Attempt >= lastAttempt && ef.declines == ef.triedCount {
 		d.Reason = "reset"
 		out.sendReset(e.Codec, e.Self, f, 0)
 		e.flows.Remove(f)
@@ -108,6 +116,9 @@
 		return
 	}
 	ef.declines++
+	if hdr.Mark.Code != CodeRefused {
+		ef.loadDeclines++
+	}
 	if ef.stage == stageOpening && ef.holder == hl {
 		e.place(now, f, route, ef, packet, hdr, out)
 	}
