Placement selects the first candidates instead of sorting all hosts

Each choice of a host sorted all hosts of the service twice. It now keeps the first eight that may take the flow while it reads the hosts once; the order is that of rank, which a property test compares.

--- a/kernel/flow/load.go
+++ b/kernel/flow/load.go
@@ -98,18 +98,12 @@
 	if g == nil {
 		return nil
 	}
-	e.rankBuffer = g.rank(f, e.DataCentre, e.rankBuffer)
+	e.rankBuffer = e.firstCandidates(now, f, g, ef, allowTried)
 	e.candidateBuffer = e.candidateBuffer[:0]
 	e.loadBuffer = e.loadBuffer[:0]
 	typical := e.rooms.typical(now)
 	for _, r := range e.rankBuffer {
-		if len(e.candidateBuffer) == maxCandidates {
-			break
-		}
 		hl := e.hostLoadOf(r.host.Instance)
-		if !r.host.Placeable || !allowTried && ef.hasTried(hl) || now.Before(hl.refusedUntil) {
-			continue
-		}
 		e.loadBuffer = append(e.loadBuffer, hl)
 		local := r.host.DataCentre == e.DataCentre
 		e.candidateBuffer = append(e.candidateBuffer, placement.FlowCandidate{
