--- a/kernel/flow/admission_test.go
+++ b/kernel/flow/admission_test.go
@@ -84,6 +84,9 @@
 	route := plan.Route{Objective: 250 * time.Millisecond, Deadline: time.Second}
 	ef := &entryFlow{triedCount: 2, loadDeclines: 2, triedHosts: [maxTriedHosts]*hostLoad{busy(9), busy(7)}}
 	require.True(t, ef.isHopeless(&route), "200 ms to the next copy and 80 ms with the shorter queue")
+	ef.attempt = 1
+	require.False(t, ef.isHopeless(&route), "another entry may have placed the first copy")
+	ef.attempt = 0
 	ef.triedHosts[1] = busy(2)
 	require.False(t, ef.isHopeless(&route), "200 ms to the next copy and 30 ms")
 	ef.triedHosts[1] = busy(7)
--- a/kernel/flow/placement.go
+++ b/kernel/flow/placement.go
@@ -84,15 +84,15 @@
 }
 
 // abandonPlacement drops a SYN that could not be placed; the caller retransmits it. The last retransmission is answered
-// with a reset if every tried host returned the SYN, so that the caller does not have to wait for a timeout. So is an
-// earlier copy if the flow is hopeless.
+// with a reset if every tried host returned the SYN, so that the caller does not have to wait for a timeout. So is the
+// first copy if the flow is hopeless.
 func (e *Entry) abandonPlacement(now time.Time, f gue.Flow, route *plan.Route, ef *entryFlow, hdr *Header, out *Output) {
 	d := Decision{
 		Action: ActionUnplaced, Flow: f, Reason: "silent", PlanVersion: e.plan.Version, Priority: route.Priority,
 		Count: ef.triedCount, AgeMs: now.Sub(ef.waitingSince).Milliseconds(),
 	}
 	e.setStage(ef, nil, stageIdle)
-	hopeless := hdr.Attempt < lastAttempt && ef.isHopeless(route) && e.chances.noteTurnedAway(now, route, hdr.Attempt)
+	hopeless := ef.isHopeless(route) && e.chances.noteTurnedAway(now, route)
 	if hopeless {
 		d.Action = ActionRefusedAtOnce
 	}
--- a/kernel/flow/refusal.go
+++ b/kernel/flow/refusal.go
@@ -7,8 +7,8 @@
 	"github.com/coltsfootline/coltsfootline/kernel/plan"
 )
 
-// copyTimes is when callers send the copies of a SYN, and when they give up, by the number of earlier copies.
-var copyTimes = [lastAttempt + 2]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond}
+// copyTimes is when callers send the copies of a SYN, by the number of earlier copies.
+var copyTimes = [lastAttempt + 1]time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond}
 
 // sinceFirstCopy returns the time since a caller sent the first copy of a SYN. The attempt comes from the packet.
 func sinceFirstCopy(attempt uint32) time.Duration {
@@ -21,12 +21,13 @@
 	return route.Objective > 0 && route.Deadline > 0
 }
 
-// isHopeless reports whether the flow can't be answered within the route's objective if it is left to the next copy of its
-// SYN. This holds if all hosts that were asked returned the SYN for their load, and if even the one with the
-// shortest queue would answer the next copy too late with the load that it has now. The caller does better with a reset:
-// it tries again at once, and a new flow asks other hosts.
+// isHopeless reports whether a flow that was turned away at the first copy of its SYN can't be answered within the route's
+// objective if it is left to the next one. This holds if all hosts that were asked returned the SYN for their load, and if
+// even the one with the shortest queue would answer the next copy too late with the load that it has now. The caller does
+// better with a reset: it tries again at once, and a new flow asks other hosts. Later copies are left alone: a host may
+// have accepted the first one through another entry.
 func (ef *entryFlow) isHopeless(route *plan.Route) bool {
-	if !refusesAtOnce(route) || ef.triedCount == 0 || ef.loadDeclines != ef.triedCount {
+	if !refusesAtOnce(route) || ef.attempt > 0 || ef.triedCount == 0 || ef.loadDeclines != ef.triedCount {
 		return false
 	}
 	shortest, service := time.Duration(-1), time.Duration(0)
@@ -36,7 +37,7 @@
 			shortest, service = wait, hl.room.routeTime
 		}
 	}
-	return copyTimes[min(ef.attempt, lastAttempt)+1]+shortest+service > route.Objective
+	return copyTimes[1]+shortest+service > route.Objective
 }
 
 // refusalChance is the greatest share of flows turned away at which a flow is refused at once. Above it, the caller's next
@@ -73,15 +74,13 @@
 	}
 }
 
-// noteTurnedAway records that all hosts returned a copy of a flow's SYN. It reports whether a new flow is more likely to be
+// noteTurnedAway records that all hosts returned the first copy of a flow's SYN. It reports whether a new flow is more likely to be
 // accepted than not.
-func (c *routeChances) noteTurnedAway(now time.Time, route *plan.Route, attempt uint32) bool {
+func (c *routeChances) noteTurnedAway(now time.Time, route *plan.Route) bool {
 	r := c.of(route.Address)
 	if r == nil {
 		return false
 	}
-	if attempt == 0 {
-		r.turnedAway.add(now, 1)
-	}
+	r.turnedAway.add(now, 1)
 	return r.turnedAway.at(now) <= refusalChance*r.arrived.at(now)
 }
