Merge admission under overload and the view of room

At the merge: a host that returned a SYN as cold reports no room and does not count as busy, the pace is asked before a request stops counting as load, and Route.Equal compares priority and deadline (TestRouteEqualCoversEachField asked for it).

--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -57,13 +57,13 @@
 
 // refuse returns a SYN to the entry.
 func (a *Agent) refuse(to netip.AddrPort, f gue.Flow, code Code, reason string, packet []byte, out *Output) {
-	mark := Mark{Code: code}
+	mark := Mark{Code: code, Value: a.roomFor(f, code)}
 	if reason == reasonCold {
 		mark.Value = coldValue
 	}
 	a.Codec.SetMark(packet, mark)
 	out.send(to, packet)
-	out.record(Decision{Action: ActionRefused, Flow: f, Reason: reason, PlanVersion: a.planVersion(), Count: a.busyCount})
+	out.record(Decision{Action: ActionRefused, Flow: f, Reason: reason, PlanVersion: a.planVersion(), Priority: a.priority(f), Count: a.busyCount})
 }
 
 // expectSYNACK records that a SYN is sent to the target.
@@ -73,8 +73,8 @@
 	}
 }
 
-// checkNewFlow returns CodeNone if the target may receive a new flow, which then counts if the target is cold. Otherwise it returns the code and the reason for
-// refusing the flow.
+// checkNewFlow returns CodeNone if the target may receive a new flow, which then counts if the target is cold. Otherwise it
+// returns the code and the reason for refusing the flow.
 func (a *Agent) checkNewFlow(now time.Time, f gue.Flow, hdr *Header) (Code, string) {
 	switch {
 	case a.target == nil:
@@ -99,7 +99,7 @@
 			return CodeRefused, "noRoute"
 		}
 	}
-	if code, reason := a.checkCapacity(now, route, hdr); code != CodeNone {
+	if code, reason := a.checkCapacity(now, f, route, hdr); code != CodeNone {
 		return code, reason
 	}
 	if !a.cold.admit(now, a.ColdLimits) {
@@ -110,10 +110,12 @@
 
 // checkCapacity refuses a flow that would have to wait for a slot, unless the entry allows waiting and the flow can
 // still be answered within its route's objective. The last retransmission of a SYN, and a flow without an objective,
-// may always wait; the target itself then bounces it if it cannot hold more flows.
-func (a *Agent) checkCapacity(now time.Time, route *plan.Route, hdr *Header) (Code, string) {
-	slots := max(a.target.Slots, 1)
+// may always wait, unless routes of higher priority want the host; the target itself then bounces it if it cannot hold
+// more flows.
+func (a *Agent) checkCapacity(now time.Time, f gue.Flow, route *plan.Route, hdr *Header) (Code, string) {
+	slots := a.slots()
 	a.expireHandshakes(now)
+	a.occupancy.fill(now, a.busyCount, slots)
 	switch {
 	case a.busyCount < slots && !a.paceAllows(hdr):
 		return CodeBusy, "pace"
@@ -121,18 +123,15 @@
 		return CodeNone, ""
 	case hdr.Mark.Code != CodeForce:
 		return CodeBusy, "busy"
-	case hdr.Attempt >= lastAttempt || route != nil && route.Objective == 0:
-		return CodeNone, ""
 	}
 	objective := objectiveWithoutPlan
 	if route != nil {
 		objective = route.Objective
+		if hdr.Attempt < lastAttempt && refusesAtOnce(route) {
+			objective = max(objective-sinceFirstCopy(hdr.Attempt), 1)
+		}
 	}
-	wait := a.serviceTime * time.Duration(a.busyCount-slots+1) / time.Duration(slots)
-	if wait+a.serviceTime > objective {
-		return CodeBusy, "wait"
-	}
-	return CodeNone, ""
+	return a.checkWait(now, f, route, slots, hdr.Attempt < lastAttempt && objective > 0, objective)
 }
 
 // expireHandshakes stops counting flows as load if their caller sent no data after the SYN. Most of these SYNs were
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -82,8 +82,11 @@
 	busyCount int
 	// handshakes holds the recently opened flows, oldest first.
 	handshakes []handshake
-	// serviceTime is the exponential moving average of the time from a request to the first byte of its answer.
-	serviceTime time.Duration
+	// occupancy tells which busy flows have a slot. serviceTimes holds for how long they have it.
+	occupancy    occupancy
+	serviceTimes serviceTimes
+	// competition holds what the routes of the service want by their priority.
+	competition competition
 }
 
 // agentFlow is an agent's state for one flow.
@@ -96,6 +99,11 @@
 	// packet of a later request.
 	busy      bool
 	busySince time.Time
+	// serving is set while the flow has a slot of the target, which it has had since servedSince.
+	serving     bool
+	servedSince time.Time
+	// queued is set while the flow is in occupancy.waiting.
+	queued bool
 	// requested is set once the caller has sent data.
 	requested bool
 	// nextSequence is the sequence number after the caller's latest data. It is valid if requested is set.
@@ -133,6 +141,8 @@
 	if a.plan == nil || p.Version >= a.plan.Version {
 		a.plan = p
 		a.cold.setPlan(p, a.Service)
+		a.serviceTimes.keep(func(route gue.Endpoint) bool { return p.Find(route) != nil })
+		a.competition.setPlan(p, a.Service)
 	}
 }
 
@@ -347,6 +357,7 @@
 	if !af.busy {
 		af.busy, af.busySince = true, now
 		a.busyCount++
+		a.occupancy.add(now, af, a.busyCount, a.slots())
 	}
 }
 
@@ -355,14 +366,10 @@
 	if af.busy {
 		af.busy = false
 		a.busyCount--
+		a.occupancy.remove(af)
 	}
 }
 
-// observeServiceTime adds a sample to the average time from a request to its answer.
-func (a *Agent) observeServiceTime(elapsed time.Duration) {
-	a.serviceTime += time.Duration(serviceTimeWeight * float64(elapsed-a.serviceTime))
-}
-
 // onEvict releases the load of a flow that is removed from the cache.
 func (a *Agent) onEvict(_ gue.Flow, af *agentFlow) {
 	a.setIdle(af)
--- a/kernel/flow/cold.go
+++ b/kernel/flow/cold.go
@@ -165,5 +165,7 @@
 		ef.coldDeclines++
 	case m.Code == CodeRefused:
 		ef.refusals++
+	default:
+		ef.loadDeclines++
 	}
 }
--- a/kernel/flow/reply.go
+++ b/kernel/flow/reply.go
@@ -44,6 +44,7 @@
 	code := CodeNotHere
 	if hdr.SYN {
 		code = CodeFull
+		a.noteBounce()
 	}
 	a.Codec.SetMark(packet, Mark{Code: code, Value: a.digest})
 	out.send(a.entryAddress(value), packet)
@@ -68,6 +69,7 @@
 	switch {
 	case hdr.SYNACK:
 		af.synAckSequence, af.synAckSeen = hdr.Sequence, true
+		a.noteAccepted()
 	case hdr.RST:
 		a.setIdle(af)
 		af.state, af.callerClosed = stateClosed, true
@@ -98,10 +100,8 @@
 	if !af.busy {
 		return
 	}
-	elapsed := now.Sub(af.busySince)
-	a.observePace(now, f, elapsed, out)
-	a.setIdle(af)
-	a.observeServiceTime(elapsed)
+	a.observePace(now, f, now.Sub(af.busySince), out)
+	elapsed := a.endRequest(now, f, af)
 	if a.ObserveServiceTime != nil {
 		a.ObserveServiceTime(elapsed.Seconds())
 	}
--- a/kernel/plan/difference.go
+++ b/kernel/plan/difference.go
@@ -94,7 +94,7 @@
 // each route.
 func (r *Route) Equal(other *Route) bool {
 	return r.Name == other.Name && r.Address == other.Address && r.Objective == other.Objective &&
-		slices.Equal(r.Shares, other.Shares)
+		r.Deadline == other.Deadline && r.Priority == other.Priority && slices.Equal(r.Shares, other.Shares)
 }
 
 // String formats the route on one line, such as "198.18.0.1:443 web -> a:3,b:1 within 150ms".
@@ -110,5 +110,11 @@
 	if r.Objective > 0 {
 		text += " within " + r.Objective.String()
 	}
+	if r.Deadline > 0 {
+		text += " deadline " + r.Deadline.String()
+	}
+	if r.Priority > 0 {
+		text += fmt.Sprintf(" priority %d", r.Priority)
+	}
 	return text
 }
