Mends of what the review of the merged parts found

Cause: a review by an engineer who wrote none of the parts showed, each by a test: live flows reset (a host that returns within 2 s, first hosts of a service after the listing, an agent that restarts long after it, a plan reported during a search), SYNs reset although a host may have accepted an earlier copy (all cold, all evacuated, a copy after a dropped one), flows refused as cold while remote hosts are idle, evacuated hosts in the place of remote candidates, no refusal at once after 32 routes, a pace that entries do not see, a port used again at a draining host, a caller's data sent to targets of services that never had the route, an ended evacuation that returns, and no limit for a cold host while its agent has no plan.

Change: the mends that the review proposed. Denials of agents that have just started count within 3 s of the entry's listing. The trailer of a SYN names the rate of cold hosts, for agents without a plan. Hosts report the limit of their pace as their slots. An update of a plan is known once it is encoded, and updateReady of the entry has a mutex (from reading). Not mended, by its report: the quadratic list of services, a whole reply of an older build on a thin link, the first request for 6,100 routes.

--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,7 +52,9 @@
 	// current is what flowEntry uses. Only the packet loop accesses it.
 	current      snapshot
 	shuttingDown atomic.Bool
-	tasks        *dataplane.TaskQueue
+	// readyMutex makes the last call of updateReady win, which two goroutines call.
+	readyMutex sync.Mutex
+	tasks      *dataplane.TaskQueue
 	// flowCount is the size of the flow table as of the last tick. Only the packet loop may access the table itself.
 	flowCount atomic.Int64
 	reloader  *reload.Reloader[*Settings]
@@ -232,6 +235,8 @@
 // updateReady reports ready if there is a plan and a host that can take new flows, unless the entry shuts down. If all
 // hosts are evacuated, the entry is ready, too: it forwards their open flows and refuses new ones.
 func (e *passthroughEntry) updateReady() {
+	e.readyMutex.Lock()
+	defer e.readyMutex.Unlock()
 	d := e.directory.Load()
 	hasHosts := d != nil && d.PlaceableCount()+d.EvacuatedCount() > 0
 	e.process.SetReady(!e.shuttingDown.Load() && e.plan.Load() != nil && hasHosts)
--- a/kernel/control/evacuationState.go
+++ b/kernel/control/evacuationState.go
@@ -40,7 +40,7 @@
 		e := facts.Evacuation{DataCentre: o.Name, Active: !o.Deleted, Revision: o.Revision}
 		if previous := s.seen[o.Name]; o.Deleted && previous.Active && e.Revision <= previous.Revision {
 			// The object of a deletion may carry the revision of its last change. The deletion itself came later.
-			e.Revision = previous.Revision + 1
+			e.Revision = max(previous.Revision+1, p.Revision)
 		}
 		s.note(e)
 	}
--- a/kernel/control/evacuations_test.go
+++ b/kernel/control/evacuations_test.go
@@ -87,3 +87,36 @@
 	require.Equal(t, []facts.Evacuation{active("north", 100)}, s.corrections([]facts.Evacuation{ended("north", 60)}))
 	require.Empty(t, s.corrections([]facts.Evacuation{ended("north", 101)}), "another reader saw the deletion first")
 }
+
+// Guards against this fault: if the object of a deletion carries the revision of its last change, a reader whose listing is newer than that and older
+// than the deletion brings the evacuation back, and no reader ends it again.
+func TestDeletedEvacuationStaysDeleted(t *testing.T) {
+	object := func(deleted bool) store.Object { return store.Object{Name: "dc1", Revision: 50, Deleted: deleted} }
+	var fact facts.Evacuation
+	correct := func(s *evacuationState) {
+		for _, c := range s.corrections([]facts.Evacuation{fact}) {
+			if c.Revision > fact.Revision {
+				fact = c
+			}
+		}
+	}
+	var r1, r2 evacuationState
+	r1.applyList(store.Page{Objects: []store.Object{object(false)}, Revision: 80})
+	r2.applyList(store.Page{Objects: []store.Object{object(false)}, Revision: 60})
+	correct(&r1)
+	correct(&r2)
+	require.True(t, fact.Active)
+	// The deletion, at revision 100, reaches the second reader first.
+	r2.applyChanges(store.Page{Objects: []store.Object{object(true)}, Revision: 100})
+	correct(&r2)
+	correct(&r1) // r1's watch returns without changes, or with another data centre's.
+	t.Log("after r1", fact)
+	r1.applyChanges(store.Page{Objects: []store.Object{object(true)}, Revision: 100})
+	for range 3 {
+		correct(&r1)
+		correct(&r2)
+		r1.applyList(store.Page{Revision: 120})
+		r2.applyList(store.Page{Revision: 120})
+	}
+	require.False(t, fact.Active, "%+v", fact)
+}
--- a/kernel/control/planServer.go
+++ b/kernel/control/planServer.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -51,7 +52,9 @@
 
 // encodedUpdate is an update that is encoded once, by the first request for it.
 type encodedUpdate struct {
-	once       sync.Once
+	once sync.Once
+	// encoded is set once the fields below are.
+	encoded    atomic.Bool
 	data       []byte
 	difference bool
 	err        error
@@ -177,7 +180,10 @@
 	}
 	u := s.update(k)
 	s.mutex.Unlock()
-	u.once.Do(func() { u.data, u.difference, u.err = plan.EncodeUpdate(base, current, &plan.Steps{}) })
+	u.once.Do(func() {
+		u.data, u.difference, u.err = plan.EncodeUpdate(base, current, &plan.Steps{})
+		u.encoded.Store(true)
+	})
 	return k, u
 }
 
@@ -203,7 +209,10 @@
 	s.mutex.Lock()
 	u := s.update(d.key)
 	s.mutex.Unlock()
-	u.once.Do(func() { u.data, u.difference = d.update, d.difference })
+	u.once.Do(func() {
+		u.data, u.difference = d.update, d.difference
+		u.encoded.Store(true)
+	})
 }
 
 // find returns an update that was encoded before.
@@ -211,9 +220,5 @@
 	s.mutex.Lock()
 	u, known := s.updates[k]
 	s.mutex.Unlock()
-	if known {
-		// Waits until it is encoded.
-		u.once.Do(func() {})
-	}
-	return u, known
+	return u, known && u.encoded.Load()
 }
--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -23,16 +23,19 @@
 }
 
 // handleSYN forwards a SYN to the target if the flow is known or the target can accept a new flow. Otherwise it returns
-// the SYN to the entry. service is the name of the service that the SYN is meant for, or empty if the entry did not name
-// it.
-func (a *Agent) handleSYN(now time.Time, from netip.AddrPort, f gue.Flow, service, packet []byte, hdr *Header, out *Output) {
+// the SYN to the entry. The trailer is empty if the entry is of an older build.
+func (a *Agent) handleSYN(now time.Time, from netip.AddrPort, f gue.Flow, trailer, packet []byte, hdr *Header, out *Output) {
+	service, rate := decodeTrailer(trailer)
+	if a.plan == nil && rate > 0 {
+		a.cold.rate = rate
+	}
 	if len(service) > 0 && string(service) != a.Service {
 		a.refuse(from, f, CodeRefused, "otherService", packet, out)
 		return
 	}
 	af, known := a.flows.Get(f)
-	// While the host is evacuated, the SYN of a caller that closed the flow is a new flow.
-	if known && af.state != stateClosed && (!a.evacuated || !af.callerClosed) {
+	// The SYN of a caller that closed the flow is a new flow.
+	if known && af.state != stateClosed && !af.callerClosed {
 		af.lastPacket = now
 		a.expectSYNACK(now)
 		a.sendToTarget(from.Addr(), packet, out)
@@ -47,6 +50,9 @@
 		a.refuse(from, f, code, reason, packet, out)
 		return
 	}
+	if known {
+		a.setIdle(af)
+	}
 	af = &agentFlow{state: stateOpening, busySince: now, lastPacket: now}
 	a.track(f, af)
 	a.setBusy(af, now)
--- a/kernel/flow/admission_test.go
+++ b/kernel/flow/admission_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
 	"github.com/coltsfootline/coltsfootline/kernel/plan"
 )
@@ -97,3 +100,70 @@
 	require.False(t, ef.isHopeless(&plan.Route{Objective: 250 * time.Millisecond}), "no deadline in the plan")
 	require.False(t, (&entryFlow{}).isHopeless(&route), "nobody was asked")
 }
+
+// Guards against this fault: from the 33rd route on, no flow is refused at once, also if the first 32 routes are gone or have no objective.
+func TestRefusalAtOnceAfterManyRoutes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := routeChances{}
+	for i := range 32 {
+		c.noteArrival(now, &plan.Route{Address: gue.Endpoint{Address: [4]byte{198, 18, 1, byte(i)}, Port: 443}})
+	}
+	r := &plan.Route{Address: testService, Objective: 200 * time.Millisecond, Deadline: time.Second}
+	now = now.Add(time.Hour)
+	for range 10 {
+		c.noteArrival(now, r)
+	}
+	require.True(t, c.noteTurnedAway(now, r))
+}
+
+// Guards against this fault: CodeForce goes to a paced host after four tries although other hosts have free slots.
+func TestPaceIsBypassedWhileOthersAreFree(t *testing.T) {
+	tn := newTestNetwork(t, 1, 12)
+	for _, h := range tn.hosts[:6] {
+		h.agent.Paced = true
+		h.agent.startPace("started", &Output{})
+		h.agent.pace.Start(4)
+	}
+	paced := 0
+	for n := range 40 {
+		// Paced hosts have one busy flow, their limit; all have 4 slots.
+		for _, h := range tn.hosts {
+			h.agent.busyCount = 1
+		}
+		h := tn.openFlow(0, n+1)
+		if slices.Index(tn.hosts, h) < 6 {
+			paced++
+		}
+		tn.advance(60 * time.Millisecond)
+	}
+	require.Zero(t, paced)
+}
+
+// Guards against this fault: a SYN of a caller that closed its earlier flow is not counted or checked if the target has not closed it.
+func TestReusedPortAtADrainingHost(t *testing.T) {
+	tn := newTestNetwork(t, 1, 1)
+	h := tn.openFlow(0, 1)
+	tn.send(0, Header{Source: caller(1), FIN: true, Acknowledged: h.target.initialSequence[flowOf(1)] + 1})
+	target := *h.member.Target
+	target.State = facts.TargetDraining
+	h.agent.UpdateTarget(tn.now, target, true, &Output{})
+	before := len(h.target.received)
+	tn.send(0, Header{Source: caller(1), SYN: true})
+	require.Len(t, h.target.received, before, "a draining target gets a new flow")
+}
+
+// Guards against this fault: after a copy that was dropped as "silent", the next one counts as a flow of which no host was
+// sent a copy, and is reset while the host that accepted the first one is avoided.
+func TestLastCopyAfterASilentOne(t *testing.T) {
+	tn := newTestNetwork(t, 1, 1)
+	tn.dropPacket = func(_ netip.AddrPort, hdr Header) bool { return hdr.SYNACK }
+	tn.send(0, Header{Source: caller(1), SYN: true})
+	tn.advance(200 * time.Millisecond)
+	tn.send(0, Header{Source: caller(1), SYN: true, Attempt: 1})
+	tn.advance(399 * time.Millisecond)
+	tn.dropPacket = nil
+	tn.send(0, Header{Source: caller(1), SYN: true, Attempt: 2})
+	for _, hdr := range tn.toCaller {
+		require.False(t, hdr.RST, "the host has accepted the first copy")
+	}
+}
--- a/kernel/flow/ask.go
+++ b/kernel/flow/ask.go
@@ -132,6 +132,11 @@
 	if hl.host == nil {
 		return
 	}
+	if i >= s.group.known {
+		// A caller's packet is sent to hosts of services that had the route only. The host is asked again.
+		s.answers[i] = answerElsewhere
+		return
+	}
 	if !e.budget.take(now, e.LinkMbps, len(s.queued[0])) {
 		s.due = true
 		return
--- a/kernel/flow/candidates.go
+++ b/kernel/flow/candidates.go
@@ -58,7 +58,7 @@
 		if h.DataCentre != e.DataCentre {
 			s, limit = &remote, remoteCandidates
 		}
-		if s.first.takes(r, limit) {
+		if (s == &local || !h.Evacuated) && s.first.takes(r, limit) {
 			s.first.add(r, limit)
 		}
 		if s.candidates.takes(r, maxCandidates) && e.mayTake(now, h, ef, allowTried) {
--- a/kernel/flow/cold.go
+++ b/kernel/flow/cold.go
@@ -158,7 +158,7 @@
 }
 
 // countDecline counts a returned SYN by its reason.
-func (ef *entryFlow) countDecline(m Mark) {
+func (ef *entryFlow) countDecline(m Mark, hl *hostLoad) {
 	ef.declines++
 	switch {
 	case m.isCold():
@@ -167,5 +167,8 @@
 		ef.refusals++
 	default:
 		ef.loadDeclines++
+		if m.Code == CodeBusy && hl.host != nil && hl.room.slots < hl.host.Target.Slots {
+			ef.pacedDeclines++
+		}
 	}
 }
--- a/kernel/flow/cold_test.go
+++ b/kernel/flow/cold_test.go
@@ -180,3 +180,85 @@
 	h.agent.SetEvacuated(now, true)
 	h.agent.SetEvacuated(now, false)
 }
+
+// Guards against this fault: a flow is reset as "cold" after eight cold hosts of the own data centre, although hosts elsewhere are idle and warm.
+func TestColdResetWhileRemoteHostsAreIdle(t *testing.T) {
+	tn := newTestNetwork(t, 1, 30)
+	tn.makeCold(10, testColdLimits)
+	tn.placeInDataCentres(func(i int) string {
+		if i < 20 {
+			return "a"
+		}
+		return "b"
+	})
+	for _, h := range tn.hosts[20:] {
+		tn.announceWarmup(h, 0, true)
+	}
+	resets, n := 0, 50
+	for i := range n {
+		before := len(tn.toCaller)
+		tn.send(0, Header{Source: caller(i), SYN: true})
+		for _, hdr := range tn.toCaller[before:] {
+			if hdr.RST {
+				resets++
+			}
+		}
+		tn.advance(12 * time.Millisecond)
+		for _, h := range tn.hosts[:20] {
+			h.agent.cold.bucket.Empty(tn.now)
+		}
+	}
+	t.Logf("%d of %d flows reset while 10 warm hosts elsewhere are idle; %v", resets, n, tn.decisionReasons(ActionUnplaced))
+	require.Zero(t, resets)
+}
+
+// Guards against this fault: a retransmission through another entry is reset as "cold" although a host has accepted the first copy.
+func TestColdResetOfAcceptedFlow(t *testing.T) {
+	tn := newTestNetwork(t, 2, 2)
+	tn.makeCold(10, testColdLimits)
+	tn.advance(2 * time.Second)
+	for _, h := range tn.hosts {
+		h.agent.checkNewFlow(tn.now, flowOf(900), &Header{})
+	}
+	tn.advance(time.Second)
+	// The SYN+ACK of the first copy is lost.
+	tn.dropPacket = func(_ netip.AddrPort, hdr Header) bool { return hdr.SYNACK && hdr.Destination == caller(1) }
+	tn.send(0, Header{Source: caller(1), SYN: true})
+	tn.dropPacket = nil
+	holders := 0
+	for _, h := range tn.hosts {
+		if _, held := h.target.initialSequence[flowOf(1)]; held {
+			holders++
+		}
+	}
+	require.Equal(t, 1, holders)
+	tn.advance(200 * time.Millisecond)
+	for _, h := range tn.hosts {
+		h.agent.cold.bucket.Empty(tn.now)
+	}
+	// Another flow finds all hosts cold and full at the second entry.
+	tn.send(1, Header{Source: caller(2), SYN: true})
+	before := len(tn.toCaller)
+	tn.send(1, Header{Source: caller(1), SYN: true, Attempt: 1})
+	for _, hdr := range tn.toCaller[before:] {
+		require.False(t, hdr.RST, "a host has accepted the first copy")
+	}
+}
+
+// Guards against this fault: an agent that has just started and has no plan admitted any number of flows to a cold host.
+// The SYN names the rate.
+func TestColdHostIsLimitedWithoutPlan(t *testing.T) {
+	tn := newTestNetwork(t, 1, 1)
+	tn.makeCold(10, testColdLimits)
+	h := tn.hosts[0]
+	h.member.SynTrailer = true
+	tn.updateEntry(0)
+	h.agent = &Agent{Self: h.member.Packets, Service: "s", Target: targetAddress(h), Codec: testCodec{}, ColdLimits: testColdLimits}
+	tn.announceWarmup(h, 3*time.Second, true)
+	for n := range 300 {
+		tn.send(0, Header{Source: caller(n), SYN: true})
+		tn.now = tn.now.Add(time.Millisecond)
+	}
+	require.LessOrEqual(t, len(h.target.received), 20)
+	require.Positive(t, len(h.target.received))
+}
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -61,6 +61,8 @@
 	// directoryChanged is when the directory last changed. groupChanges holds the last change of each service's hosts.
 	directoryChanged time.Time
 	groupChanges     map[string]groupChange
+	// listedSince is when the entry first knew a listing of the store, or zero.
+	listedSince time.Time
 	// searches holds the flows whose holder is being searched for.
 	searches map[gue.Flow]*entryFlow
 	// questions holds the questions that were not answered yet, by number. budget limits what searches send.
@@ -93,8 +95,9 @@
 	// declines counts how many times hosts returned the flow's SYNs, and loadDeclines how many times for their load.
 	declines     int
 	loadDeclines int
-	// coldDeclines and refusals count how many times hosts returned the latest SYN as cold or refused it.
-	coldDeclines, refusals int
+	// coldDeclines, pacedDeclines and refusals count how many times hosts returned the latest SYN as cold, returned it at
+	// the limit of their pace, or refused it.
+	coldDeclines, pacedDeclines, refusals int
 	// attempt is the Header.Attempt of the latest SYN; placements is how many times that SYN was sent to a host.
 	attempt    uint32
 	placements int
--- a/kernel/flow/evacuation_test.go
+++ b/kernel/flow/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -189,3 +190,53 @@
 		require.Len(t, ranked, 60)
 	}
 }
+
+// Guards against this fault: a retransmission through another entry is reset as "evacuated" although a host has accepted the first copy.
+func TestEvacuatedResetOfAcceptedFlow(t *testing.T) {
+	tn := newTestNetwork(t, 2, 2)
+	tn.placeInDataCentres(func(int) string { return "a" })
+	tn.dropPacket = func(_ netip.AddrPort, hdr Header) bool { return hdr.SYNACK }
+	tn.send(0, Header{Source: caller(1), SYN: true})
+	tn.dropPacket = nil
+	tn.advance(100 * time.Millisecond)
+	tn.evacuate(true, "a")
+	tn.advance(100 * time.Millisecond)
+	tn.send(1, Header{Source: caller(1), SYN: true, Attempt: 1})
+	for _, hdr := range tn.toCaller {
+		require.False(t, hdr.RST, "a host has accepted the first copy")
+	}
+}
+
+// Guards against this fault: with an evacuated data centre, some flows have no candidate in the remaining other data centre.
+func TestEvacuatedHostsTakeThePlacesOfRemoteCandidates(t *testing.T) {
+	tn := newTestNetwork(t, 1, 60)
+	tn.placeInDataCentres(func(i int) string { return string(rune('a' + i%3)) })
+	tn.evacuate(true, "c")
+	e := tn.entries[0]
+	g := e.directory.Group("s")
+	without, differ := 0, 0
+	for n := range 1000 {
+		f := flowOf(n)
+		var want, got []string
+		for _, r := range g.rank(f, "a", nil) {
+			if r.host.Placeable && len(want) < maxCandidates {
+				want = append(want, r.host.Instance)
+			}
+		}
+		remote := 0
+		for _, r := range e.firstCandidates(tn.now, f, g, &entryFlow{}, false) {
+			got = append(got, r.host.Instance)
+			if r.host.DataCentre != "a" {
+				remote++
+			}
+		}
+		if remote == 0 {
+			without++
+		}
+		if !slices.Equal(want, got) {
+			differ++
+		}
+	}
+	t.Logf("of 1000 flows: %d without a remote candidate, %d with other candidates than rank", without, differ)
+	require.Zero(t, differ)
+}
--- a/kernel/flow/history_test.go
+++ b/kernel/flow/history_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/gue"
 	"github.com/coltsfootline/coltsfootline/kernel/plan"
 )
 
@@ -257,3 +258,58 @@
 	s := e.searches[flowOf(0)].search
 	require.Equal(t, answerNone, s.answers[s.indexOf(q.host)])
 }
+
+// Guards against this fault: a plan that a peer reports during a search does not make the group's history incomplete, so that after planSettleTime
+// the silence of the newer plan's service does not put the reset off.
+func TestPlanReportedDuringASearch(t *testing.T) {
+	tn := newTestNetwork(t, 2, 3)
+	holder := tn.hosts[2]
+	holder.member.Service, holder.agent.Service = "other", "other"
+	tn.plan.History = &plan.History{Since: tn.now.Add(-time.Hour), Earlier: map[gue.Endpoint][]plan.EarlierService{}}
+	for i := range tn.entries {
+		tn.updateEntry(i)
+	}
+	tn.updateAgents()
+	for _, h := range tn.hosts {
+		h.agent.sawAllSYNs = true
+	}
+	tn.advance(time.Second)
+	// The second entry has a newer plan, under which the flow is on the other service.
+	newer := *tn.plan
+	newer.Version++
+	newer.Routes = []plan.Route{{Name: "r", Address: testService, Shares: []plan.Share{{Service: "other", Weight: 1}}}}
+	newer.Index()
+	holder.agent.SetPlan(&newer)
+	tn.entries[1].Update(tn.now, &newer, tn.entries[1].directory)
+	require.Equal(t, holder, tn.openFlow(1, 1))
+	// The holder's agent does not answer for a second, e.g. because it is suspended.
+	tn.dropPacket = func(to netip.AddrPort, hdr Header) bool { return to == holder.member.Packets }
+	tn.sendRequest(0, 1, holder)
+	tn.advance(400 * time.Millisecond)
+	tn.entries[0].NewestPlan = newer.Version
+	for range 20 {
+		tn.advance(50 * time.Millisecond)
+	}
+	require.Empty(t, tn.decisionReasons(ActionReset))
+}
+
+// Guards against this fault: the data of a caller's request is sent to the targets of services that never had the route.
+func TestSearchSendsDataToOtherServices(t *testing.T) {
+	tn := newTestNetwork(t, 2, 3)
+	other := tn.hosts[2]
+	other.member.Service, other.agent.Service = "other", "other"
+	for i := range tn.entries {
+		tn.updateEntry(i)
+	}
+	tn.updateAgents()
+	tn.advance(time.Second)
+	h := tn.openFlow(0, 1)
+	tn.dropPacket = func(to netip.AddrPort, _ Header) bool { return to == h.member.Packets }
+	tn.sendRequest(1, 1, h)
+	for range 20 {
+		tn.advance(50 * time.Millisecond)
+	}
+	for _, hdr := range other.target.received {
+		require.Zero(t, hdr.Length, "request data at a target of another service")
+	}
+}
--- a/kernel/flow/hostSets.go
+++ b/kernel/flow/hostSets.go
@@ -12,8 +12,11 @@
 	// incarnations. After a loss of power these change for most hosts, in another order at each instance.
 	questionFormHosts = 1
 	// hostSetRetention is how long an entry remembers the sets of hosts that it knew. It is the time that a change of the
-	// membership may take to reach all agents.
+	// membership may take to reach all agents. Sets with a host that has left are forgotten.
 	hostSetRetention = 2 * time.Second
+	// listingTimeout is how long denials of agents that have just started count by the entry's listing. After a loss of power
+	// all agents start within 0.5 s; later, hosts may have joined of which neither knows.
+	listingTimeout = 3 * time.Second
 	// maxHostSets bounds the earlier sets that are remembered for a service.
 	maxHostSets = 32
 )
@@ -44,11 +47,15 @@
 // updateGroupChanges records the changes of each service's hosts.
 func (e *Entry) updateGroupChanges(now time.Time) {
 	previous := e.groupChanges
+	firstListing := e.directory.Listed && e.listedSince.IsZero()
+	if firstListing {
+		e.listedSince = now
+	}
 	e.groupChanges = make(map[string]groupChange, len(e.directory.byService))
 	for name, g := range e.directory.byService {
 		c, known := previous[name]
 		switch {
-		case !known && e.directory.Listed:
+		case !known && firstListing:
 			c = groupChange{group: g}
 		case !known:
 			c = groupChange{group: g, at: now}
@@ -66,7 +73,12 @@
 			c.at = now
 		}
 		c.earlier = slices.DeleteFunc(slices.Clone(c.earlier), func(s earlierHosts) bool { return now.Sub(s.until) > hostSetRetention })
-		c.earlier = append(c.earlier, earlierHosts{digest: c.group.HostsDigest, until: now})
+		if c.group.hasOtherHosts(g) {
+			// A host that has left may return, and agents that know it again report an earlier set.
+			c.earlier = nil
+		} else {
+			c.earlier = append(c.earlier, earlierHosts{digest: c.group.HostsDigest, until: now})
+		}
 		c.earlier = c.earlier[max(0, len(c.earlier)-maxHostSets):]
 	}
 	c.group = g
@@ -89,12 +101,12 @@
 
 // knowsSameHosts reports whether the agent that sent a packet knows no host of its service that the entry does not know. It
 // compares the agent's digest with the set of hosts that the entry knows and with those that it knew: these had all hosts
-// that the agent knows. An agent that has just started reports no digest: it adds nothing to what the entry has listed in
-// the store.
+// that the agent knows. An agent that has just started reports no digest: it adds nothing to what the entry has just listed
+// in the store.
 func (e *Entry) knowsSameHosts(now time.Time, hl *hostLoad, hdr *Header) bool {
 	digest := hdr.Mark.Value
 	if digest == 0 {
-		return e.directory.Listed
+		return !e.listedSince.IsZero() && now.Sub(e.listedSince) <= listingTimeout
 	}
 	c, known := e.groupChanges[hl.host.Service]
 	if !known {
--- a/kernel/flow/hostSets_test.go
+++ b/kernel/flow/hostSets_test.go
@@ -10,16 +10,14 @@
 	"pgregory.net/rapid"
 
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/placement"
 )
 
 // restartAll restarts all agents and targets and the entry, as after a loss of power. The entry lists the members in the
 // store, which holds the earlier incarnations. The agents know some members only.
-func (tn *testNetwork) restartAll() {
-	tn.startEntry(0)
-	tn.entries[0].directory.Listed = true
-	tn.entries[0].LinkMbps = thinLinkMbps
-	tn.entries[0].groupChanges = nil
-	tn.entries[0].updateGroupChanges(tn.now)
+func (tn *testNetwork) restartAll(listed bool) {
+	tn.entries[0] = &Entry{Self: address(1), Codec: testCodec{}, Policy: placement.LeastWait{}, LinkMbps: thinLinkMbps}
+	tn.updateListedEntry(0, listed)
 	for i, h := range tn.hosts {
 		h.startTarget()
 		tn.startAgent(h)
@@ -35,14 +33,13 @@
 // 1,687 a second reach 22 entries.
 func TestLostFlowsAreResetWhileTheMembershipIsLearned(t *testing.T) {
 	tn := newSearchLoad(t, true)
-	tn.restartAll()
+	tn.restartAll(true)
 	const requestInterval = 22 * time.Second / 1687
 	for i, h := range tn.hosts {
 		// The entry learns of one restarted target after the other.
 		current := h.member
 		h.member.Target = &facts.Target{ID: current.Target.ID, StartedMs: current.Target.StartedMs + 1, State: facts.TargetReady, Slots: 4}
-		tn.updateEntry(0)
-		tn.entries[0].directory.Listed = true
+		tn.updateListedEntry(0, true)
 		tn.send(0, Header{Source: caller(i), Acknowledged: 1, Length: requestBytes})
 		tn.advance(requestInterval)
 	}
@@ -59,8 +56,7 @@
 // no host either, deny it.
 func TestDenialsOfAgentsThatJustStartedNeedAListing(t *testing.T) {
 	tn := newSearchLoad(t, true)
-	tn.restartAll()
-	tn.entries[0].directory.Listed = false
+	tn.restartAll(false)
 	tn.sendLostFlows(1)
 	tn.advance(groupSettleTime)
 	require.Empty(t, tn.decisionReasons(ActionReset))
@@ -78,7 +74,6 @@
 	}
 	e := tn.entries[1]
 	e.Update(tn.now, tn.plan, NewDirectory(others))
-	e.directory.Listed = true
 	for _, h := range tn.hosts {
 		if h != holder {
 			h.agent.SetDirectory(tn.now, e.directory)
@@ -143,3 +138,113 @@
 		}
 	})
 }
+
+// Guards against this fault: a host whose target was gone and is back is unknown to one entry for some milliseconds. The agents that know it
+// report a set that the entry knew within 2 s, and their denials reset the flow.
+func TestHostThatReturnsWithin2s(t *testing.T) {
+	tn := newTestNetwork(t, 2, 3)
+	set := func(target []*Entry, agents bool, members ...facts.Member) {
+		d := NewDirectory(members)
+		d.Listed = true
+		for _, e := range target {
+			e.Update(tn.now, tn.plan, d)
+		}
+		if agents {
+			for _, h := range tn.hosts {
+				h.agent.SetDirectory(tn.now, d)
+			}
+		}
+	}
+	all := func() []facts.Member {
+		return []facts.Member{tn.hosts[0].member, tn.hosts[1].member, tn.hosts[2].member}
+	}
+	set(tn.entries, true, all()...)
+	for _, h := range tn.hosts {
+		h.agent.sawAllSYNs = true
+	}
+	tn.advance(2 * time.Second)
+	// The target of host 2 is gone for a second.
+	set(tn.entries, true, all()[:2]...)
+	tn.advance(time.Second)
+	// It is back: entry 0 and the agents know, entry 1 learns it some milliseconds later.
+	h := tn.hosts[2]
+	target := *h.member.Target
+	target.StartedMs++
+	h.member.Target = &target
+	h.startTarget()
+	tn.startAgent(h)
+	set(tn.entries[:1], true, all()...)
+	n := 1
+	for ; ; n++ {
+		if tn.openFlow(0, n) == h {
+			break
+		}
+	}
+	tn.advance(5 * time.Millisecond)
+	tn.sendRequest(1, n, h)
+	require.Empty(t, tn.decisionReasons(ActionReset), "host 2 holds the flow")
+}
+
+// Guards against this fault: the first host of a service that appears after the listing counts as listed, so that its denial is conclusive at
+// once, although another host of the service, which joined at the same time, holds the flow.
+func TestFirstHostsOfAService(t *testing.T) {
+	tn := newTestNetwork(t, 2, 2)
+	update := func(e *Entry, members ...facts.Member) {
+		d := NewDirectory(members)
+		d.Listed = true
+		e.Update(tn.now, tn.plan, d)
+	}
+	for _, e := range tn.entries {
+		update(e)
+	}
+	tn.advance(10 * time.Second)
+	// Both agents start: entry 0 knows both, entry 1 only the first as yet.
+	for _, h := range tn.hosts {
+		h.startTarget()
+		tn.startAgent(h)
+		h.agent.Start(tn.now)
+		h.agent.sawAllSYNs = true
+		h.agent.SetDirectory(tn.now, NewDirectory([]facts.Member{h.member}))
+	}
+	update(tn.entries[0], tn.hosts[0].member, tn.hosts[1].member)
+	update(tn.entries[1], tn.hosts[0].member)
+	n := 1
+	for ; tn.openFlow(0, n) != tn.hosts[1]; n++ {
+	}
+	tn.advance(5 * time.Millisecond)
+	tn.sendRequest(1, n, tn.hosts[1])
+	require.Empty(t, tn.decisionReasons(ActionReset), "host 1 holds the flow")
+}
+
+// Guards against this fault: an agent that has just started reports no digest, and its denial counts because the entry listed the members long ago. The
+// host that joined since, and which the entry learns some milliseconds later than others, is not asked.
+func TestDenialOfARestartedAgentLongAfterTheListing(t *testing.T) {
+	tn := newTestNetwork(t, 2, 2)
+	update := func(e *Entry, members ...facts.Member) {
+		d := NewDirectory(members)
+		d.Listed = true
+		e.Update(tn.now, tn.plan, d)
+	}
+	for _, e := range tn.entries {
+		update(e, tn.hosts[0].member)
+	}
+	tn.advance(time.Hour)
+	// Host 0 restarts, host 1 is new.
+	for _, h := range tn.hosts {
+		target := *h.member.Target
+		target.StartedMs++
+		h.member.Target = &target
+		h.startTarget()
+		tn.startAgent(h)
+		h.agent.sawAllSYNs = true
+		h.agent.SetDirectory(tn.now, NewDirectory([]facts.Member{tn.hosts[0].member, tn.hosts[1].member}))
+	}
+	update(tn.entries[0], tn.hosts[0].member, tn.hosts[1].member)
+	update(tn.entries[1], tn.hosts[0].member)
+	n := 1
+	for ; tn.openFlow(0, n) != tn.hosts[1]; n++ {
+	}
+	tn.advance(5 * time.Millisecond)
+	tn.sendRequest(1, n, tn.hosts[1])
+	require.Empty(t, tn.decisionReasons(ActionReset), "host 1 holds the flow")
+}
--- a/kernel/flow/liveness_test.go
+++ b/kernel/flow/liveness_test.go
@@ -68,7 +68,7 @@
 	tn.dropPacket = func(to netip.AddrPort, _ Header) bool { return to == targetAddress(alone) }
 	tn.startAgent(alone)
 	tn.updateAgents()
-	tn.entries[1].directory.Listed = true
+	tn.updateListedEntry(1, true)
 	_, reset := tn.sendRequest(1, 1, h)
 	require.False(t, reset)
 	tn.reportAbsence(alone)
--- a/kernel/flow/load.go
+++ b/kernel/flow/load.go
@@ -20,6 +20,8 @@
 	// synTimeoutPenalty is how long a host is not chosen after a SYN that it did not respond to. The membership marks a
 	// dead host as down after 1.5 s.
 	synTimeoutPenalty = 400 * time.Millisecond
+	// maxLocalColdDeclines is how many cold hosts may return a SYN before hosts of other data centres are preferred.
+	maxLocalColdDeclines = 2
 	// maxCandidates bounds the hosts that the policy chooses from for one flow. A search asks as many hosts first.
 	maxCandidates = localCandidates + remoteCandidates
 )
@@ -110,13 +112,15 @@
 	e.candidateBuffer = e.candidateBuffer[:0]
 	e.loadBuffer = e.loadBuffer[:0]
 	typical := e.rooms.typical(now)
+	// Cold hosts report no room. After an evacuation all local hosts may be cold, while others are idle.
+	preferLocal := ef.coldDeclines < maxLocalColdDeclines
 	for _, r := range e.rankBuffer {
 		hl := e.hostLoadOf(r.host.Instance)
 		e.loadBuffer = append(e.loadBuffer, hl)
 		local := r.host.DataCentre == e.DataCentre
 		e.candidateBuffer = append(e.candidateBuffer, placement.FlowCandidate{
 			Instance:       r.host.Instance,
-			SameDataCentre: local,
+			SameDataCentre: local == preferLocal,
 			Outstanding:    hl.outstanding,
 			Flows:          hl.flows,
 			Slots:          r.host.Target.Slots,
--- a/kernel/flow/network_test.go
+++ b/kernel/flow/network_test.go
@@ -112,11 +112,18 @@
 
 // updateEntry gives an entry the current members and plan.
 func (tn *testNetwork) updateEntry(i int) {
+	tn.updateListedEntry(i, false)
+}
+
+// updateListedEntry gives an entry the current members, which it has listed in the store if listed is set, and plan.
+func (tn *testNetwork) updateListedEntry(i int, listed bool) {
 	var members []facts.Member
 	for _, h := range tn.hosts {
 		members = append(members, h.member)
 	}
-	tn.entries[i].Update(tn.now, tn.plan, NewDirectory(members))
+	d := NewDirectory(members)
+	d.Listed = listed
+	tn.entries[i].Update(tn.now, tn.plan, d)
 }
 
 // updateAgents gives all agents the directory of the first entry.
@@ -283,3 +290,14 @@
 	}
 	return reasons
 }
+
+// placeInDataCentres puts each host into a data centre by its index, and all entries into "a".
+func (tn *testNetwork) placeInDataCentres(dc func(i int) string) {
+	for i, h := range tn.hosts {
+		h.member.DataCentre = dc(i)
+	}
+	for i, e := range tn.entries {
+		e.DataCentre = "a"
+		tn.updateEntry(i)
+	}
+}
--- a/kernel/flow/placement.go
+++ b/kernel/flow/placement.go
@@ -24,7 +24,9 @@
 // startFlow places the SYN of a flow whose holder is unknown.
 func (e *Entry) startFlow(now time.Time, f gue.Flow, route *plan.Route, packet []byte, hdr *Header, out *Output) {
 	ef, known := e.flows.Get(f)
-	if !known || ef.stage != stageOpening {
+	// A later copy of a SYN that was dropped continues the flow: a host may have accepted an earlier one.
+	continued := known && (ef.stage == stageOpening || hdr.Attempt > ef.attempt && ef.triedCount > 0)
+	if !continued {
 		if known {
 			// The SYN begins a new flow, to which a search for the holder of the old one no longer applies.
 			e.endSearch(f, ef)
@@ -39,7 +41,7 @@
 		e.chances.noteArrival(now, route)
 	}
 	ef.lastPacket = now
-	ef.attempt, ef.placements, ef.coldDeclines, ef.refusals = hdr.Attempt, 0, 0, 0
+	ef.attempt, ef.placements, ef.coldDeclines, ef.pacedDeclines, ef.refusals = hdr.Attempt, 0, 0, 0, 0
 	e.place(now, f, route, ef, packet, hdr, out)
 }
 
@@ -56,7 +58,7 @@
 	service := route.SelectService(f)
 	mark := Mark{Value: uint32(e.plan.Version)}
 	hl := e.chooseHost(now, f, service, ef, false)
-	if ef.mayWait(route) && (hl == nil || ef.placements >= freeSlotTries) {
+	if ef.mayWait(route) && (hl == nil || ef.placements-ef.pacedDeclines >= freeSlotTries) {
 		hl = e.chooseHost(now, f, service, ef, true)
 		mark.Code = CodeForce
 	}
@@ -84,10 +86,11 @@
 }
 
 // forwardSYN sends a SYN to a host, or drops it if the host has left. A trailer names the host's service, so that an agent
-// that has taken over the host's address refuses the SYN if it belongs to another service.
+// that has taken over the host's address refuses the SYN if it belongs to another service. It also names the rate that a
+// cold host bears, for an agent that has no plan yet.
 func (e *Entry) forwardSYN(hl *hostLoad, packet []byte, m Mark, out *Output) {
 	if hl.host != nil && hl.host.SynTrailer {
-		packet = e.Codec.AppendTrailer(packet, hl.host.Service)
+		packet = e.Codec.AppendTrailer(packet, encodeTrailer(hl.host.Service, e.plan.FindService(hl.host.Service)))
 	}
 	e.forward(hl, packet, m, out)
 }
@@ -120,12 +123,15 @@
 	switch {
 	case ef.declines != ef.triedCount:
 		return ""
+	case hdr.Attempt >= lastAttempt:
+		return "reset"
+	case hdr.Attempt > 0:
+		// A host may have accepted an earlier copy through another entry.
+		return ""
 	case g != nil && g.onlyEvacuated():
 		return "evacuated"
 	case e.allCold(now, g, ef):
 		return "cold"
-	case hdr.Attempt >= lastAttempt:
-		return "reset"
 	}
 	return ""
 }
@@ -145,7 +151,7 @@
 		e.startFlow(now, f, route, packet, hdr, out)
 		return
 	}
-	ef.countDecline(hdr.Mark)
+	ef.countDecline(hdr.Mark, hl)
 	if ef.stage == stageOpening && ef.holder == hl {
 		e.place(now, f, route, ef, packet, hdr, out)
 	}
--- a/kernel/flow/refusal.go
+++ b/kernel/flow/refusal.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"maps"
 	"time"
 
 	"github.com/coltsfootline/coltsfootline/kernel/gue"
@@ -55,10 +56,16 @@
 }
 
 // of returns the counts of a route, or nil if there are too many routes.
-func (c *routeChances) of(route gue.Endpoint) *routeChance {
-	if r := (*c)[route]; r != nil || len(*c) >= maxTimedRoutes {
+func (c *routeChances) of(now time.Time, route gue.Endpoint) *routeChance {
+	if r := (*c)[route]; r != nil {
 		return r
 	}
+	if len(*c) >= maxTimedRoutes {
+		maps.DeleteFunc(*c, func(_ gue.Endpoint, r *routeChance) bool { return r.arrived.at(now) < 0.1 })
+	}
+	if len(*c) >= maxTimedRoutes {
+		return nil
+	}
 	if *c == nil {
 		*c = make(routeChances)
 	}
@@ -69,7 +76,10 @@
 
 // noteArrival records the first copy of a flow's SYN.
 func (c *routeChances) noteArrival(now time.Time, route *plan.Route) {
-	if r := c.of(route.Address); r != nil && refusesAtOnce(route) {
+	if !refusesAtOnce(route) {
+		return
+	}
+	if r := c.of(now, route.Address); r != nil {
 		r.arrived.add(now, 1)
 	}
 }
@@ -77,7 +87,7 @@
 // noteTurnedAway records that all hosts returned the first copy of a flow's SYN. It reports whether a new flow is more likely to be
 // accepted than not.
 func (c *routeChances) noteTurnedAway(now time.Time, route *plan.Route) bool {
-	r := c.of(route.Address)
+	r := c.of(now, route.Address)
 	if r == nil {
 		return false
 	}
--- a/kernel/flow/room.go
+++ b/kernel/flow/room.go
@@ -25,8 +25,13 @@
 	if c != CodeBusy {
 		return 0
 	}
+	// The limit of the pace takes the place of the slots, so that entries do not take the rest for free.
+	slots := a.slots()
+	if limit := a.pace.Limit(); a.Paced && limit > 0 {
+		slots = min(slots, limit)
+	}
 	return encodeRoom(room{
-		busy: a.busyCount, slots: a.slots(), serviceTime: a.serviceTimes.all.mean, routeTime: a.serviceTimes.of(f.Service),
+		busy: a.busyCount, slots: slots, serviceTime: a.serviceTimes.all.mean, routeTime: a.serviceTimes.of(f.Service),
 	})
 }
 
--- a/kernel/flow/searchGroup.go
+++ b/kernel/flow/searchGroup.go
@@ -207,6 +207,7 @@
 func (e *Entry) refreshSearch(now time.Time, f gue.Flow, route *plan.Route, ef *entryFlow) {
 	s := ef.search
 	if s.group.directory == e.directory && s.group.plan == e.plan {
+		s.group.complete = s.group.complete && e.NewestPlan <= e.plan.Version
 		return
 	}
 	previous, answers := s.group, s.answers
