Explain where a new flow would go: coltsfootline where

An operator could see where flows went (explain) and what instances remember (flows find), but not where a flow would go now.

flow.where lets a copy of what an entry's placement reads decide about the SYN of a caller, and hands the SYN back as returned until it is not placed any more. The reply names the plan, route, service, candidates in order with what the entry knows of each, hosts that were passed over and why, the choice, and the rule by which the flow ends as left to its next copy or refused. The deciding code is unchanged; round robin can be cloned.

--- a/coltsfootline/cmd/commands_test.go
+++ b/coltsfootline/cmd/commands_test.go
@@ -35,6 +35,8 @@
 	evacuations control.EvacuationsReply
 	// pace is the limit on requests that all agents report.
 	pace int
+	// where is the reply of the entry to the method of that name.
+	where func(dataplane.WhereRequest) flow.Where
 }
 
 func newFakeInstances(t *testing.T) *fakeInstances {
@@ -50,7 +52,7 @@
 	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
 }
 
-func (f *fakeInstances) Call(_ context.Context, to netip.AddrPort, method string, _, result any) error {
+func (f *fakeInstances) Call(_ context.Context, to netip.AddrPort, method string, params, result any) error {
 	f.called = append(f.called, method)
 	for _, m := range f.members {
 		if m.Control == to && f.silent[m.Instance] {
@@ -71,6 +73,8 @@
 		reply = p
 	case dataplane.MethodFind:
 		reply = f.find(to)
+	case dataplane.MethodWhere:
+		reply = f.where(params.(dataplane.WhereRequest))
 	case control.MethodAudit:
 		reply = control.AuditReply{Trail: f.trail}
 	case control.MethodEvacuations:
--- a/coltsfootline/cmd/root.go
+++ b/coltsfootline/cmd/root.go
@@ -40,6 +40,7 @@
 		newHostsCmd(c),
 		newEvacuationsCmd(c),
 		newFlowsCmd(c),
+		newWhereCmd(c),
 		newDrainCmd(c),
 		newDoctorCmd(c),
 		newExplainCmd(),
--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -110,6 +110,7 @@
 	e.socket = socket
 	if err := e.node.Start(lifetime, map[string]peer.Handler{
 		peer.MethodStatus: peer.Handle(e.status), dataplane.MethodFind: dataplane.FindHandler(e.find),
+		dataplane.MethodWhere: dataplane.WhereHandler(e.where),
 	}); err != nil {
 		return err
 	}
@@ -248,3 +249,13 @@
 	e.tasks.Do(ctx, func(now time.Time) { all = e.flowEntry.Find(now, caller) })
 	return all
 }
+
+// where explains where a new flow would go now.
+func (e *passthroughEntry) where(ctx context.Context, f gue.Flow) (flow.Where, error) {
+	var w flow.Where
+	if !e.tasks.Do(ctx, func(now time.Time) { w = e.flowEntry.Where(now, f) }) {
+		return w, ctx.Err()
+	}
+	w.Instance, w.Policy = e.settings.Instance, e.settings.Policy
+	return w, nil
+}
--- a/kernel/flow/find.go
+++ b/kernel/flow/find.go
@@ -32,18 +32,23 @@
 			continue
 		}
 		ef, _ := e.flows.Peek(f)
-		info := Info{Flow: f, Stage: stageNames[ef.stage], IdleMs: now.Sub(ef.lastPacket).Milliseconds()}
-		if ef.holder != nil {
-			info.Instance = ef.holder.instance()
-		}
-		if ef.search != nil {
-			info.Stage = "searched"
-		}
-		infos = append(infos, info)
+		infos = append(infos, ef.info(now, f))
 	}
 	return infos
 }
 
+// info returns what the entry knows about the flow.
+func (ef *entryFlow) info(now time.Time, f gue.Flow) Info {
+	info := Info{Flow: f, Stage: stageNames[ef.stage], IdleMs: now.Sub(ef.lastPacket).Milliseconds()}
+	if ef.holder != nil {
+		info.Instance = ef.holder.instance()
+	}
+	if ef.search != nil {
+		info.Stage = "searched"
+	}
+	return info
+}
+
 var agentStateNames = map[agentState]string{stateUnknown: "unknown", stateOpening: "opening", stateOpen: "open", stateClosed: "closed"}
 
 // Find returns the flows of a caller's address and port that the agent tracks. It scans all flows.
--- a/kernel/placement/flowPolicy.go
+++ b/kernel/placement/flowPolicy.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"time"
 
 	"github.com/coltsfootline/coltsfootline/kernel"
@@ -32,6 +33,14 @@
 	Choose(candidates []FlowCandidate) int
 }
 
+// CloneFlowPolicy returns a policy that makes the same next choices as p and shares no state with it.
+func CloneFlowPolicy(p FlowPolicy) FlowPolicy {
+	if c, ok := p.(interface{ clone() FlowPolicy }); ok {
+		return c.clone()
+	}
+	return p
+}
+
 // FlowPolicies holds the registered flow policies.
 var FlowPolicies = kernel.Registry[FlowPolicy]{Kind: "flow policy"}
 
@@ -80,6 +89,10 @@
 	return best
 }
 
+func (r *RoundRobin) clone() FlowPolicy {
+	return &RoundRobin{selections: r.selections, lastSelected: maps.Clone(r.lastSelected)}
+}
+
 // LeastWait selects the host with the shortest expected response time.
 type LeastWait struct{}
 
