--- a/coltsfootline/cmd/whereText.go
+++ b/coltsfootline/cmd/whereText.go
@@ -73,7 +73,7 @@
 	}
 	for _, h := range r.Candidates {
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%s\t%s\t%s\t%s\n", h.Instance, h.DataCentre, h.Slots, h.Outstanding, h.Flows,
-			numberText(h.ServiceTimeMs), busyText(h.Room), ageText(h.Room), strconv.FormatFloat(h.WaitMs, 'f', 1, 64))
+			numberText(h.ServiceTimeMs), busyText(h.Room), ageText(h.Room), strconv.FormatFloat(h.ExpectedWaitMs, 'f', 1, 64))
 	}
 	if err := t.Flush(); err != nil {
 		return err
--- a/kernel/flow/where.go
+++ b/kernel/flow/where.go
@@ -56,8 +56,8 @@
 	ServiceTimeMs float64 `json:"serviceTimeMs"`
 	// Room is nil if the host has reported none.
 	Room *WhereRoom `json:"room,omitempty"`
-	// WaitMs is the time that the flow is expected to wait for a slot.
-	WaitMs float64 `json:"waitMs"`
+	// ExpectedWaitMs is the time that the flow is expected to wait for a slot.
+	ExpectedWaitMs float64 `json:"expectedWaitMs"`
 	// RefusedForMs is for how much longer the host is not chosen, and ColdForMs for how much longer it counts as cold and
 	// full.
 	RefusedForMs float64 `json:"refusedForMs"`
@@ -248,11 +248,11 @@
 	typical := d.entry.rooms.typical(d.now)
 	host := WhereHost{
 		Instance: h.Instance, DataCentre: h.DataCentre, Slots: h.Target.Slots, Outstanding: hl.outstanding, Flows: hl.flows,
-		ServiceTimeMs: milliseconds(hl.serviceTime),
-		WaitMs:        milliseconds(hl.expectedWait(d.now, typical.of(h.DataCentre == d.entry.DataCentre))),
-		RefusedForMs:  milliseconds(max(hl.refusedUntil.Sub(d.now), 0)),
-		ColdForMs:     milliseconds(max(hl.coldUntil.Sub(d.now), 0)),
-		Evacuated:     h.Evacuated, Down: h.Down,
+		ServiceTimeMs:  milliseconds(hl.serviceTime),
+		ExpectedWaitMs: milliseconds(hl.expectedWait(d.now, typical.of(h.DataCentre == d.entry.DataCentre))),
+		RefusedForMs:   milliseconds(max(hl.refusedUntil.Sub(d.now), 0)),
+		ColdForMs:      milliseconds(max(hl.coldUntil.Sub(d.now), 0)),
+		Evacuated:      h.Evacuated, Down: h.Down,
 	}
 	if !hl.room.reported.IsZero() {
 		host.Room = &WhereRoom{
