--- a/coltsfootline/cmd/whereText.go
+++ b/coltsfootline/cmd/whereText.go
@@ -26,19 +26,31 @@
 	if err := printWhereHosts(w, r); err != nil {
 		return err
 	}
-	for i := range r.Steps {
+	printSteps(w, r)
+	for _, n := range whereNotes(r) {
+		_, _ = fmt.Fprintln(w, "note: "+n)
+	}
+	return nil
+}
+
+// printSteps prints the steps. Equal ones in a row are printed once.
+func printSteps(w io.Writer, r *flow.Where) {
+	for i, times := 0, 1; i < len(r.Steps); i, times = i+times, 1 {
 		switch i {
 		case 0:
 			_, _ = fmt.Fprintln(w, "now:")
 		case 1:
 			_, _ = fmt.Fprintln(w, "if each host returns the SYN as busy, with all slots in use:")
 		}
-		_, _ = fmt.Fprintln(w, "  "+stepText(r, i))
-	}
-	for _, n := range whereNotes(r) {
-		_, _ = fmt.Fprintln(w, "note: "+n)
+		text := stepText(r, i)
+		for i > 0 && i+times < len(r.Steps) && stepText(r, i+times) == text {
+			times++
+		}
+		if times > 1 {
+			text += fmt.Sprintf(" (%d times)", times)
+		}
+		_, _ = fmt.Fprintln(w, "  "+text)
 	}
-	return nil
 }
 
 func planText(r *flow.Where) string {
--- a/coltsfootline/cmd/where_test.go
+++ b/coltsfootline/cmd/where_test.go
@@ -116,6 +116,7 @@
 		"crowded":    func(s *shop) { s.crowd("north") },
 		"overloaded": func(s *shop) { s.crowd("north"); s.crowd("south") },
 		"evacuated":  func(s *shop) { s.evacuate("north") },
+		"oneHost":    func(s *shop) { s.hosts = s.hosts[:1]; s.evacuate() },
 		"nowhere":    func(s *shop) { s.evacuate("north", "south") },
 		"routeGone":  func(s *shop) { s.remember(); s.setPlan(8) },
 		"remembered": func(s *shop) { s.remember() },
