--- a/kernel/placement/flowPolicy.go
+++ b/kernel/placement/flowPolicy.go
@@ -33,10 +33,17 @@
 	Choose(candidates []FlowCandidate) int
 }
 
+// StatefulFlowPolicy is a FlowPolicy whose choices depend on earlier ones.
+type StatefulFlowPolicy interface {
+	FlowPolicy
+	// Clone returns a policy that makes the same next choices and shares no state with this one.
+	Clone() FlowPolicy
+}
+
 // CloneFlowPolicy returns a policy that makes the same next choices as p and shares no state with it.
 func CloneFlowPolicy(p FlowPolicy) FlowPolicy {
-	if c, ok := p.(interface{ clone() FlowPolicy }); ok {
-		return c.clone()
+	if s, ok := p.(StatefulFlowPolicy); ok {
+		return s.Clone()
 	}
 	return p
 }
@@ -89,7 +96,8 @@
 	return best
 }
 
-func (r *RoundRobin) clone() FlowPolicy {
+// Clone returns a policy with the same past selections.
+func (r *RoundRobin) Clone() FlowPolicy {
 	return &RoundRobin{selections: r.selections, lastSelected: maps.Clone(r.lastSelected)}
 }
 
