--- a/kernel/placement/flowPolicy.go
+++ b/kernel/placement/flowPolicy.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"time"
 
 	"github.com/coltsfootline/coltsfootline/kernel"
@@ -32,6 +33,21 @@
 	Choose(candidates []FlowCandidate) int
 }
 
+// StatefulFlowPolicy is a FlowPolicy whose choices depend on earlier ones.
+type StatefulFlowPolicy interface {
+	FlowPolicy
+	// Clone returns a policy that makes the same next choices and shares no state with this one.
+	Clone() FlowPolicy
+}
+
+// CloneFlowPolicy returns a policy that makes the same next choices as p and shares no state with it.
+func CloneFlowPolicy(p FlowPolicy) FlowPolicy {
+	if s, ok := p.(StatefulFlowPolicy); ok {
+		return s.Clone()
+	}
+	return p
+}
+
 // FlowPolicies holds the registered flow policies.
 var FlowPolicies = kernel.Registry[FlowPolicy]{Kind: "flow policy"}
 
@@ -80,6 +96,11 @@
 	return best
 }
 
+// Clone returns a policy with the same past selections.
+func (r *RoundRobin) Clone() FlowPolicy {
+	return &RoundRobin{selections: r.selections, lastSelected: maps.Clone(r.lastSelected)}
+}
+
 // LeastWait selects the host with the shortest expected response time.
 type LeastWait struct{}
 
