Contention and room decide only where the settings ask for it

Change: the policy leastWait is the earlier one again, and the one that goes by the hosts' reports is leastExpectedWait. The new setting contention of entries and agents turns on refusal at once, priorities and waiting of later copies.

Measured: tests of kernel, entry, agent/cmd and coltsfootline.

--- a/agent/cmd/settings.go
+++ b/agent/cmd/settings.go
@@ -60,6 +60,9 @@
 	TargetListener netip.AddrPort `yaml:"targetListener"`
 	Outbound       netip.AddrPort `yaml:"outbound"`
 	Announcements  netip.AddrPort `yaml:"announcements"`
+	// Contention makes instances decide under contention by the priorities, objectives and deadlines of routes. It is used
+	// only with a Form.
+	Contention bool `yaml:"contention"`
 	// TolerateDataCentres is how many data centres may be lost at once. If it is not 0, agents also exchange with an entry of
 	// another data centre. It must be the same on all instances. It is used only with a Form.
 	TolerateDataCentres int `yaml:"tolerateDataCentres"`
--- a/coltsfootline/cmd/where_test.go
+++ b/coltsfootline/cmd/where_test.go
@@ -44,7 +44,7 @@
 		Caller:  gue.Endpoint{Address: [4]byte{100, 64, 0, 7}, Port: 40001},
 		Service: gue.Endpoint{Address: [4]byte{198, 18, 0, 1}, Port: 443},
 	}}
-	s.entry = &flow.Entry{Self: address(1), DataCentre: "north", Codec: s.codec, Policy: placement.LeastWait{}}
+	s.entry = &flow.Entry{Self: address(1), DataCentre: "north", Codec: s.codec, Policy: placement.LeastExpectedWait{}, Contention: true}
 	for i := range 9 {
 		m := facts.Member{
 			Instance: fmt.Sprint("shop-", i+1), Role: facts.RoleAgent, Service: "shop", DataCentre: "north", State: facts.StateServing,
@@ -121,7 +121,7 @@
 		"routeGone":  func(s *shop) { s.remember(); s.setPlan(8) },
 		"remembered": func(s *shop) { s.remember() },
 		"noPlan": func(s *shop) {
-			s.entry = &flow.Entry{DataCentre: "north", NewestPlan: 7, Codec: s.codec, Policy: placement.LeastWait{}}
+			s.entry = &flow.Entry{DataCentre: "north", NewestPlan: 7, Codec: s.codec, Policy: placement.LeastExpectedWait{}, Contention: true}
 		},
 		"draining":    func(s *shop) { s.drain() },
 		"routeAbsent": func(s *shop) { s.flow.Service.Port = 80 },
--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -82,7 +82,7 @@
 		process: &process.Process{
 			Admin: s.Admin, Pprof: s.Pprof, Logger: logger, Readiness: s.Readiness, ReadinessPath: s.ReadinessPath,
 		},
-		flowEntry: &flow.Entry{Self: s.Packets, DataCentre: s.DataCentre, Codec: components.Codec, Policy: policy, LinkMbps: s.LinkMbps, FlowLifetime: s.FlowLifetime},
+		flowEntry: &flow.Entry{Self: s.Packets, DataCentre: s.DataCentre, Codec: components.Codec, Policy: policy, LinkMbps: s.LinkMbps, FlowLifetime: s.FlowLifetime, Contention: s.Contention},
 		recorder:  dataplane.NewRecorder(logger, metrics.GetDefaultSet()),
 		tasks:     dataplane.NewTaskQueue(),
 	}
--- a/entry/cmd/settings.go
+++ b/entry/cmd/settings.go
@@ -45,6 +45,9 @@
 	// FlowLifetime is the maximum age of a flow. A flow is reset only if the hosts of all services that a plan gave its
 	// route within that time deny it. 0 means a default. It is used only with a Form.
 	FlowLifetime time.Duration `yaml:"flowLifetime"`
+	// Contention makes instances decide under contention by the priorities, objectives and deadlines of routes. It is used
+	// only with a Form.
+	Contention bool `yaml:"contention"`
 	// TolerateDataCentres is how many data centres may be lost at once. If it is not 0, agents also exchange with an entry of
 	// another data centre. It must be the same on all instances. It is used only with a Form.
 	TolerateDataCentres int `yaml:"tolerateDataCentres"`
--- a/entry/cmd/where_test.go
+++ b/entry/cmd/where_test.go
@@ -18,7 +18,7 @@
 func TestWhereRunsAsTask(t *testing.T) {
 	e := &passthroughEntry{
 		settings: &Settings{Instance: "edge-1", Policy: "leastWait"}, tasks: dataplane.NewTaskQueue(),
-		flowEntry: &flow.Entry{DataCentre: "north", Policy: placement.LeastWait{}},
+		flowEntry: &flow.Entry{DataCentre: "north", Policy: placement.LeastExpectedWait{}, Contention: true},
 	}
 	params, err := json.Marshal(dataplane.WhereRequest{
 		Caller: netip.MustParseAddrPort("100.64.0.7:40001"), Route: netip.MustParseAddrPort("198.18.0.1:443"),
--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -133,11 +133,22 @@
 	objective := objectiveWithoutPlan
 	if route != nil {
 		objective = route.Objective
-		if hdr.Attempt < lastAttempt && refusesAtOnce(route) {
+		if a.Contention && hdr.Attempt < lastAttempt && refusesAtOnce(route) {
 			objective = max(objective-sinceFirstCopy(hdr.Attempt), 1)
 		}
 	}
-	return a.checkWait(now, f, route, slots, hdr.Attempt < lastAttempt && objective > 0, objective)
+	limited := hdr.Attempt < lastAttempt && objective > 0
+	switch {
+	case a.Contention:
+		return a.checkWait(now, f, route, slots, limited, objective)
+	case !limited:
+		return CodeNone, ""
+	}
+	wait := a.responseTime * time.Duration(a.busyCount-slots+1) / time.Duration(slots)
+	if wait+a.responseTime > objective {
+		return CodeBusy, "wait"
+	}
+	return CodeNone, ""
 }
 
 // expireHandshakes stops counting flows as load if their caller sent no data after the SYN. Most of these SYNs were
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -45,6 +45,9 @@
 	// Target is the address at which the target receives packets.
 	Target netip.AddrPort
 	Codec  Codec
+	// Contention makes the agent decide about waiting flows by the priorities of their routes and by the time that remains of
+	// their objective. Without it, only the wait itself counts.
+	Contention bool
 	// ObserveServiceTime, if not nil, is called with the time from each request to its answer, in seconds. The time of a
 	// flow's first request is measured from the flow's SYN.
 	ObserveServiceTime func(seconds float64)
@@ -80,6 +83,8 @@
 	trackedRoutes map[gue.Endpoint]bool
 	// busyCount is the number of flows that count as load: those with an unfinished handshake or an unanswered request.
 	busyCount int
+	// responseTime is the exponential moving average of the time from a request to the first byte of its answer.
+	responseTime time.Duration
 	// handshakes holds the recently opened flows, oldest first.
 	handshakes []handshake
 	// occupancy tells which busy flows have a slot. serviceTimes holds for how long they have it.
--- a/kernel/flow/candidates_test.go
+++ b/kernel/flow/candidates_test.go
@@ -62,7 +62,7 @@
 				m.Target = &facts.Target{ID: m.Instance, StartedMs: 1, State: facts.TargetReady, Slots: modelSlots}
 				members = append(members, m)
 			}
-			e := &Entry{Self: address(1), DataCentre: "a", Codec: testCodec{}, Policy: placement.LeastWait{}}
+			e := &Entry{Self: address(1), DataCentre: "a", Codec: testCodec{}, Policy: placement.LeastExpectedWait{}, Contention: true}
 			p := &plan.Plan{Version: 1}
 			p.Index()
 			now := time.Unix(1000, 0)
--- a/kernel/flow/competition_test.go
+++ b/kernel/flow/competition_test.go
@@ -28,7 +28,7 @@
 		p.Routes = append(p.Routes, k.route)
 	}
 	p.Index()
-	c := &competingAgent{now: time.Unix(1000, 0), Agent: &Agent{Service: "s", Codec: testCodec{}}}
+	c := &competingAgent{now: time.Unix(1000, 0), Agent: &Agent{Service: "s", Codec: testCodec{}, Contention: true}}
 	c.SetPlan(p)
 	c.UpdateTarget(c.now, facts.Target{ID: "t", StartedMs: 1, State: facts.TargetReady, Slots: modelSlots}, true, &Output{})
 	c.competition.noteBounce(modelSlots+queue, modelSlots, 1)
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -48,6 +48,9 @@
 	Policy     placement.FlowPolicy
 	// LinkMbps is the capacity of the entry's network link in Mbit/s. 0 means defaultLinkMbps.
 	LinkMbps float64
+	// Contention makes the entry refuse flows at once that can't meet their objective, and let later copies of a SYN wait
+	// while the objective leaves time.
+	Contention bool
 	// FlowLifetime is the maximum age of a flow. 0 means defaultFlowLifetime.
 	FlowLifetime time.Duration
 	// NewestPlan is the highest version of a plan that any instance has reported. The history of an older plan is
--- a/kernel/flow/flow_test.go
+++ b/kernel/flow/flow_test.go
@@ -27,7 +27,7 @@
 	tn := newTestNetwork(t, 1, 2)
 	tn.plan.Routes[0].Objective = 150 * time.Millisecond
 	for _, h := range tn.hosts {
-		h.agent.busyCount, h.agent.serviceTimes.all.mean = 4, 40*time.Millisecond
+		h.agent.busyCount, h.agent.responseTime = 4, 40*time.Millisecond
 	}
 	tn.openFlow(0, 1)
 	before := len(tn.toCaller)
@@ -220,7 +220,7 @@
 func TestAgentWithoutPlanLimitsTheWait(t *testing.T) {
 	tn := newTestNetwork(t, 1, 1)
 	a := tn.hosts[0].agent
-	a.plan, a.busyCount, a.serviceTimes.all.mean = nil, 20, 40*time.Millisecond
+	a.plan, a.busyCount, a.responseTime = nil, 20, 40*time.Millisecond
 	code, _ := a.checkNewFlow(tn.now, flowOf(1), &Header{Mark: Mark{Code: CodeForce}})
 	require.Equal(t, CodeBusy, code)
 	a.busyCount = 5
--- a/kernel/flow/load.go
+++ b/kernel/flow/load.go
@@ -14,6 +14,9 @@
 	// defaultServiceTime is assumed for a host whose service time is unknown. It is about the mean service time of a request
 	// in the project's requirements.
 	defaultServiceTime = 30 * time.Millisecond
+	// busyPenalty is how long a host is reported to the policy as busy after CodeBusy. It is about the duration of one
+	// request.
+	busyPenalty = 40 * time.Millisecond
 	// refusedPenalty is how long a host is not chosen after CodeRefused. Within that time, the membership reports the
 	// state of the host.
 	refusedPenalty = 500 * time.Millisecond
@@ -39,6 +42,8 @@
 	serviceTime time.Duration
 	// room is what the host last reported with a returned SYN.
 	room room
+	// busyUntil is until when the host is reported to the policy as busy.
+	busyUntil time.Time
 	// refusedUntil is until when the host is not chosen.
 	refusedUntil time.Time
 	// coldUntil is until when the host counts as cold and full.
@@ -97,6 +102,7 @@
 			hl.penalizeCold(now)
 			return
 		}
+		hl.busyUntil = now.Add(busyPenalty)
 		hl.noteRoom(now, m.Value)
 	}
 }
@@ -125,6 +131,7 @@
 			Flows:          hl.flows,
 			Slots:          r.host.Target.Slots,
 			ServiceTime:    hl.serviceTime,
+			Busy:           now.Before(hl.busyUntil),
 			Wait:           hl.expectedWait(now, typical.of(local)),
 		})
 	}
--- a/kernel/flow/overload_test.go
+++ b/kernel/flow/overload_test.go
@@ -125,13 +125,14 @@
 		for i := range dataCentres[name][0] {
 			a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(d), 0, byte(i)}), testPort)
 			m.dataCentre[a.Addr()] = name
-			m.entries = append(m.entries, &Entry{Self: a, DataCentre: name, Codec: testCodec{}, Policy: placement.LeastWait{}})
+			m.entries = append(m.entries, &Entry{Self: a, DataCentre: name, Codec: testCodec{}, Policy: placement.LeastExpectedWait{}, Contention: true})
 		}
 		for i := range dataCentres[name][1] {
 			a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(d), 1, byte(i)}), testPort)
 			t := facts.Target{ID: a.String(), StartedMs: 1, State: facts.TargetReady, Slots: modelSlots}
 			h := &modelHost{address: a, held: map[gue.Flow]bool{}, agent: &Agent{
-				Self: a, Service: "s", Target: netip.AddrPortFrom(a.Addr(), testPort+1), Codec: testCodec{},
+				Contention: true,
+				Self:       a, Service: "s", Target: netip.AddrPortFrom(a.Addr(), testPort+1), Codec: testCodec{},
 			}}
 			h.agent.SetPlan(p)
 			h.agent.UpdateTarget(m.now, t, true, &Output{})
--- a/kernel/flow/placement.go
+++ b/kernel/flow/placement.go
@@ -37,7 +37,7 @@
 	if ef.stage == stageOpening && hdr.Attempt > ef.attempt {
 		ef.holder.penalizeSYNTimeout(now, ef.waitingSince)
 	}
-	if hdr.Attempt == 0 {
+	if hdr.Attempt == 0 && e.Contention {
 		e.chances.noteArrival(now, route)
 	}
 	ef.lastPacket = now
@@ -48,8 +48,9 @@
 // mayWait reports whether the flow may wait for a slot. A flow whose SYN was retransmitted once has usually missed its
 // objective. Then it takes only free slots, so that it does not delay flows that can still meet theirs. The last
 // retransmission may wait because the caller gives up after it.
-func (ef *entryFlow) mayWait(route *plan.Route) bool {
-	return ef.attempt == 0 || ef.attempt >= lastAttempt || refusesAtOnce(route) && sinceFirstCopy(ef.attempt) < route.Objective
+func (e *Entry) mayWait(route *plan.Route, ef *entryFlow) bool {
+	objectiveLeft := e.Contention && refusesAtOnce(route) && sinceFirstCopy(ef.attempt) < route.Objective
+	return ef.attempt == 0 || ef.attempt >= lastAttempt || objectiveLeft
 }
 
 // place sends a SYN to the host that the policy chooses among the hosts that have not been tried. If there is none, or
@@ -58,7 +59,7 @@
 	service := route.SelectService(f)
 	mark := Mark{Value: uint32(e.plan.Version)}
 	hl := e.chooseHost(now, f, service, ef, false)
-	if ef.mayWait(route) && (hl == nil || ef.placements-ef.pacedDeclines >= freeSlotTries) {
+	if e.mayWait(route, ef) && (hl == nil || ef.placements-ef.pacedDeclines >= freeSlotTries) {
 		hl = e.chooseHost(now, f, service, ef, true)
 		mark.Code = CodeForce
 	}
@@ -105,7 +106,7 @@
 	}
 	e.setStage(ef, nil, stageIdle)
 	reason := e.resetReason(now, route.SelectService(f), ef, hdr)
-	if ef.isHopeless(route) && e.chances.noteTurnedAway(now, route) && reason == "" {
+	if e.Contention && ef.isHopeless(route) && e.chances.noteTurnedAway(now, route) && reason == "" {
 		d.Action, reason = ActionRefusedAtOnce, "reset"
 	}
 	if reason != "" {
--- a/kernel/flow/reply.go
+++ b/kernel/flow/reply.go
@@ -102,6 +102,7 @@
 	}
 	a.observePace(now, f, now.Sub(af.busySince), out)
 	elapsed := a.endRequest(now, f, af)
+	a.responseTime += time.Duration(serviceTimeWeight * float64(elapsed-a.responseTime))
 	if a.ObserveServiceTime != nil {
 		a.ObserveServiceTime(elapsed.Seconds())
 	}
--- a/kernel/flow/where.go
+++ b/kernel/flow/where.go
@@ -327,7 +327,7 @@
 		return decision.Reason
 	case ef.triedCount == 0:
 		return RuleNoCandidate
-	case !refusesAtOnce(route):
+	case !d.entry.Contention || !refusesAtOnce(route):
 		return RuleNoDeadline
 	case ef.loadDeclines != ef.triedCount:
 		return RuleOtherDeclines
--- a/kernel/flow/where_test.go
+++ b/kernel/flow/where_test.go
@@ -159,7 +159,7 @@
 }
 
 func drawEntry(r *rapid.T) *drawnEntry {
-	policies := []placement.FlowPolicy{placement.LeastWait{}, placement.LeastWait{}, placement.HashFlowPolicy{}, &placement.RoundRobin{}}
+	policies := []placement.FlowPolicy{placement.LeastWait{}, placement.LeastExpectedWait{}, placement.HashFlowPolicy{}, &placement.RoundRobin{}}
 	policy := policies[rapid.IntRange(0, len(policies)-1).Draw(r, "policy")]
 	de := &drawnEntry{Entry: &Entry{Self: address(1), DataCentre: "a", Codec: testCodec{}, Policy: policy}, r: r, now: time.Unix(1000, 0)}
 	if rapid.IntRange(0, 9).Draw(r, "plan") > 0 {
