Gossip: an instance that refutes its state uses its own state

Cause: Accept refuted before it stored the accepted facts in the members and in the queues of the links, so the fact that was refuted replaced the refutation in both. An instance that was marked down once had itself as down in its view until its next change of state: an own-fabric agent was not the owner of any flow by its own table and forwarded the SYNs that all others forwarded to it, until the hop limit; an entry monitored no member; peers got the refutation only by the next exchange. Change: the refutation comes last. Test: TestRefutedStateIsReplaced failed first, for an agent and an entry.

--- a/kernel/peer/gossip.go
+++ b/kernel/peer/gossip.go
@@ -205,9 +205,10 @@
 	if len(accepted) == 0 {
 		return
 	}
-	g.refute(now, accepted)
 	g.updateMembers(accepted)
 	g.disseminate(now, accepted)
+	// The refutation comes last, because it replaces an accepted fact in the members and in the queues of the links.
+	g.refute(now, accepted)
 }
 
 // ExchangeNow starts an exchange with each peer before the next period begins. It must be called on the control
