Agents that terminate their flows may share an address

Cause: since the rule of one host an address, an agent that is marked down while another agent responds at the same IP address is retired as left. Agents of the own fabric differ by their ports, and the rig starts all on 127.0.0.1. Change: agents with an address for requests, which are those that terminate their flows, claim no address. Test: TestTerminatingAgentsShareAddress failed first.

--- a/kernel/facts/address.go
+++ b/kernel/facts/address.go
@@ -29,8 +29,10 @@
 	return holders, conflicts
 }
 
+// claimsAddress reports whether the member is an agent that needs its address for itself. Agents that terminate their
+// flows do not: they differ by their ports. They are the ones that have an address for requests.
 func (m Member) claimsAddress() bool {
-	return m.Role == RoleAgent && m.State != StateLeft
+	return m.Role == RoleAgent && m.State != StateLeft && !m.Requests.IsValid()
 }
 
 // precedes reports whether m holds the address that both members claim. A member that responds precedes one that is
--- a/kernel/facts/address_test.go
+++ b/kernel/facts/address_test.go
@@ -74,3 +74,21 @@
 	require.Equal(t, StateLeft, m.State)
 	require.Equal(t, uint64(6), retired[0].Version)
 }
+
+// Agents that terminate their flows may share an address. One of them that was wrongly marked down must stay a member,
+// because the others ask only members for the holder of a flow and reset a flow that none of them holds. Seen in the
+// scenario unevenTables.
+func TestTerminatingAgentsShareAddress(t *testing.T) {
+	terminating := func(instance string, incarnation uint64, port uint16, state State) Member {
+		m := agentAt(instance, incarnation, state)
+		m.Packets = netip.AddrPortFrom(testAddress.Addr(), port)
+		m.Requests = netip.AddrPortFrom(testAddress.Addr(), port+1)
+		return m
+	}
+	down, other := terminating("a", 1, 9000, StateDown), terminating("b", 2, 9010, StateServing)
+	var s Set
+	f, err := down.Fact(1, 5)
+	require.NoError(t, err)
+	s.Merge(f)
+	require.Empty(t, RetireSuperseded(&s, []Member{down, other}))
+}
