Rig: the logs of entries and agents of a scenario are kept

Cause: they log to their standard output, which the rig kept in memory only; the log files of a failed scenario were empty. The rig reads the output of callers only.

--- a/rig/cluster/cluster.go
+++ b/rig/cluster/cluster.go
@@ -172,6 +172,15 @@
 	return p, err
 }
 
+// startNode starts an entry or an agent. These write their logs to the standard output.
+func (c *Cluster) startNode(name, program, settingsFile string) (*Process, error) {
+	p, err := StartLogged(c.Directory, name, program, "run", "--settings", settingsFile)
+	if err == nil {
+		c.processes = append(c.processes, p)
+	}
+	return p, err
+}
+
 // StartCaller writes a settings file and starts a caller process with it.
 func (c *Cluster) StartCaller(name string, settings any) (*Process, error) {
 	file, err := c.writeSettings(name, settings)
--- a/rig/cluster/node.go
+++ b/rig/cluster/node.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.Process, err = c.start(n.Name, c.Programs.Entry, "run", "--settings", file)
+	n.Process, err = c.startNode(n.Name, c.Programs.Entry, file)
 	if err != nil {
 		return nil, err
 	}
@@ -147,7 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n.Process, err = c.start(n.Name, c.Programs.Agent, "run", "--settings", file)
+	n.Process, err = c.startNode(n.Name, c.Programs.Agent, file)
 	if err != nil {
 		return nil, err
 	}
