Agents: a SYN of a 4-tuple that was held elsewhere opens a new connection

The new connection also started at epoch 1, and agents that knew a later one refused to take it over. Change: the agent asks the known holder and opens a new connection if that denies the flow, has left, refuses the call or is down and silent. It waits for the next SYN while a holder that is not down does not reply. A new connection continues the epochs of the earlier one. Tests: TestNewConnectionOfMovedTuple fails in each of its cases on the code before; TestLateSYNOfMovedFlow passed before and guards the live connection. Both pass under the race detector.

--- a/agent/caller/flow.go
+++ b/agent/caller/flow.go
@@ -36,13 +36,16 @@
 type flow struct {
 	mutex sync.Mutex
 
-	key      gue.Flow
-	hash     uint64
-	state    state
-	epoch    uint64
-	peer     netip.AddrPort
-	lastSeen time.Time
-	buffered [][]byte
+	key   gue.Flow
+	hash  uint64
+	state state
+	// epoch is 0 if no holder of the flow is known. earlierEpoch is the last known epoch of earlier connections of the
+	// same 4-tuple.
+	epoch        uint64
+	earlierEpoch uint64
+	peer         netip.AddrPort
+	lastSeen     time.Time
+	buffered     [][]byte
 
 	tcpTracking
 	*requestBoundary
--- a/agent/caller/locator.go
+++ b/agent/caller/locator.go
@@ -207,6 +207,8 @@
 		f.peer = found.location.Holder
 		f.epoch = found.location.Epoch
 		t.forwardBuffered(f)
+	case f.epoch > 0:
+		t.finishHolderCheck(f, found.incomplete, now)
 	case f.hasBufferedSYN():
 		t.acceptBuffered(f, now)
 	case found.incomplete:
--- a/agent/caller/receiver.go
+++ b/agent/caller/receiver.go
@@ -160,7 +160,7 @@
 // acceptNewFlow makes this agent the holder of a flow and passes its SYN to the stack.
 func (t *Terminator) acceptNewFlow(f *flow, in inboundPacket) {
 	f.state = stateLocal
-	f.epoch = 1
+	f.epoch = f.earlierEpoch + 1
 	f.trackSYN(in.packet)
 	t.stack.Load().InjectInbound(in.inner[:len(in.packet.IP)])
 }
@@ -171,11 +171,14 @@
 	case stateLocal:
 		t.deliverToStack(f, in, now)
 	case stateRemote:
-		if in.packet.IsSYN() && f.epoch == 0 {
+		switch {
+		case !in.packet.IsSYN():
+			t.forward(f, in)
+		case f.epoch == 0:
 			t.placeNewFlow(f, in, now)
-			return
+		default:
+			t.checkHolder(f, in, now)
 		}
-		t.forward(f, in)
 	default:
 		if !f.buffer(in.inner[:len(in.packet.IP)]) {
 			t.Counters.countDrop(gue.ReasonQueue)
@@ -210,7 +213,7 @@
 	f.conn = nil
 	f.closedAt = time.Time{}
 	f.state = statePending
-	f.epoch = 0
+	f.endEarlierConnection()
 }
 
 // forward sends a packet to the peer of its flow. A packet that has reached gue.MaxHops is dropped together with the
