--- a/coltsfootline/cmd/where_test.go
+++ b/coltsfootline/cmd/where_test.go
@@ -102,7 +102,7 @@
 // where answers as an entry does.
 func (s *shop) where(r dataplane.WhereRequest) flow.Where {
 	w := s.entry.Where(s.now, gue.Flow{Caller: gue.EndpointOf(r.Caller), Service: gue.EndpointOf(r.Route)})
-	w.Instance, w.Policy = "edge-1", placement.DefaultFlowPolicy
+	w.Instance, w.Policy = "edge-1", "leastExpectedWait"
 	dataplane.NameSteps(w.Steps)
 	return w
 }
