Hosts whose answers are far worse than those of the others get no new flows

Cause: a host that fails part of its requests while it announces itself as ready keeps its share of the flows, and one that fails quickly looks the emptiest. Change: agents score the answers of their targets and report a few figures in their member fact (kernel/outlier, setting ejection), entries compare the hosts of a service and eject outliers within bounds.

--- a/agent/cmd/packetHandlers.go
+++ b/agent/cmd/packetHandlers.go
@@ -26,6 +26,7 @@
 	a.step(now, func(out *flow.Output) { a.flowAgent.Sweep(now, out) })
 	a.recorder.LogSuppressed(now)
 	a.checkTarget(now)
+	a.reportHealth(now)
 }
 
 // Resumed logs that the process resumed after a pause and how many queued packets from entries were dropped.
--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -73,7 +73,7 @@
 		protocol: protocol,
 		flowAgent: &flow.Agent{
 			Self: s.Packets, Service: s.Service, Target: s.TargetPackets, Codec: components.Codec,
-			ColdLimits: flow.ColdLimits{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack}, Paced: s.Pace,
+			ColdLimits: flow.ColdLimits{Overshoot: s.ColdOvershoot, Slack: s.ColdSlack}, Paced: s.Pace, Scored: s.Ejection,
 		},
 		tracker:  announce.Tracker{Service: s.Service},
 		recorder: dataplane.NewRecorder(logger, metrics.GetDefaultSet()),
--- a/agent/cmd/settings.go
+++ b/agent/cmd/settings.go
@@ -71,6 +71,9 @@
 	ColdSlack     float64 `yaml:"coldSlack"`
 	// Pace limits the concurrent requests of a target that started or recovered, until its answers are fast.
 	Pace bool `yaml:"pace"`
+	// Ejection makes the agent report what it sees of the target's answers, so that entries may eject the host. It is used
+	// only with a Form.
+	Ejection bool `yaml:"ejection"`
 }
 
 // Validate returns all violations in the settings.
--- a/coltsfootline/cmd/commands_test.go
+++ b/coltsfootline/cmd/commands_test.go
@@ -35,6 +35,8 @@
 	evacuations control.EvacuationsReply
 	// pace is the limit on requests that all agents report.
 	pace int
+	// ejected holds the ejected hosts that all instances report.
+	ejected map[string][]string
 }
 
 func newFakeInstances(t *testing.T) *fakeInstances {
@@ -57,7 +59,7 @@
 			return &peer.CallError{Peer: to, Method: method, Cause: context.DeadlineExceeded}
 		}
 	}
-	reply := any(peer.StatusReply{Digest: 7, Open: 5, Busy: 2, Waiting: 1, Pace: f.pace, Cold: f.pace > 0})
+	reply := any(peer.StatusReply{Digest: 7, Open: 5, Busy: 2, Waiting: 1, Pace: f.pace, Cold: f.pace > 0, Ejected: f.ejected})
 	switch method {
 	case peer.MethodReconcile:
 		reply = f.reconcile()
--- a/coltsfootline/cmd/hostsCmd.go
+++ b/coltsfootline/cmd/hostsCmd.go
@@ -1,9 +1,11 @@
 package cmd
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -12,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/coltsfootline/coltsfootline/kernel/facts"
+	"github.com/coltsfootline/coltsfootline/kernel/peer"
 )
 
 type hostsCmd struct {
@@ -60,6 +63,7 @@
 	if h.pace {
 		return h.printPaces(cmd, all)
 	}
+	h.markEjected(cmd.Context(), entry, all)
 	if h.json {
 		return json.NewEncoder(cmd.OutOrStdout()).Encode(all)
 	}
@@ -72,6 +76,21 @@
 
 	// Evacuated reports whether the agent's data centre is evacuated.
 	Evacuated bool `json:"evacuated,omitempty"`
+	// Ejected reports whether the entry that was asked places no flows on the host because of its answers.
+	Ejected bool `json:"ejected,omitempty"`
+}
+
+// markEjected marks the hosts that the entry has ejected. Each entry decides by itself. One that does not reply has none.
+func (h *hostsCmd) markEjected(ctx context.Context, entry netip.AddrPort, all []listedHost) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply peer.StatusReply
+	if err := h.client.Call(ctx, entry, peer.MethodStatus, peer.StatusRequest{}, &reply); err != nil {
+		return
+	}
+	for i := range all {
+		all[i].Ejected = slices.Contains(reply.Ejected[all[i].Service], all[i].Instance)
+	}
 }
 
 // listHosts returns the members among the facts, and whether their data centres are evacuated.
@@ -138,8 +157,12 @@
 		if m.Evacuated {
 			dataCentre += " (evacuated)"
 		}
+		state := string(target.State)
+		if m.Ejected {
+			state += " (ejected)"
+		}
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\n",
-			m.Service, m.Instance, dataCentre, m.State, target.ID, target.State, target.Slots, m.Packets)
+			m.Service, m.Instance, dataCentre, m.State, target.ID, state, target.Slots, m.Packets)
 	}
 	return t.Flush()
 }
--- a/coltsfootline/cmd/plan_test.go
+++ b/coltsfootline/cmd/plan_test.go
@@ -99,6 +99,10 @@
 	text, code = f.run("hosts", "--pace")
 	require.Equal(t, 0, code)
 	golden.Check(t, "testdata/hostsPace.golden", text)
+	f.ejected = map[string][]string{"catalogue": {"catalogue-1"}}
+	text, code = f.run("hosts")
+	require.Zero(t, code)
+	golden.Check(t, "testdata/hostsEjected.golden", text)
 	text, code = f.run("hosts", "--service", "drawings")
 	require.Zero(t, code)
 	require.NotContains(t, text, "catalogue")
--- a/entry/cmd/passthrough.go
+++ b/entry/cmd/passthrough.go
@@ -55,6 +55,7 @@
 	// flowCount is the size of the flow table as of the last tick. Only the packet loop may access the table itself.
 	flowCount atomic.Int64
 	reloader  *reload.Reloader[*Settings]
+	ejections ejectionReport
 }
 
 // snapshot is a directory and a plan that are used together.
@@ -79,7 +80,7 @@
 		process: &process.Process{
 			Admin: s.Admin, Pprof: s.Pprof, Logger: logger, Readiness: s.Readiness, ReadinessPath: s.ReadinessPath,
 		},
-		flowEntry: &flow.Entry{Self: s.Packets, DataCentre: s.DataCentre, Codec: components.Codec, Policy: policy, LinkMbps: s.LinkMbps, FlowLifetime: s.FlowLifetime},
+		flowEntry: &flow.Entry{Self: s.Packets, DataCentre: s.DataCentre, Codec: components.Codec, Policy: policy, LinkMbps: s.LinkMbps, FlowLifetime: s.FlowLifetime, Ejection: s.Ejection},
 		recorder:  dataplane.NewRecorder(logger, metrics.GetDefaultSet()),
 		tasks:     dataplane.NewTaskQueue(),
 	}
@@ -156,6 +157,7 @@
 	e.applyUpdates(now)
 	e.releaseHeld(now)
 	e.flowEntry.Sweep(now)
+	e.updateEjections(now)
 	e.tasks.RunOne(now)
 	e.flowCount.Store(int64(e.flowEntry.FlowCount()))
 	dataplane.RepeatWithin(searchBudget, func() bool {
@@ -239,7 +241,7 @@
 
 func (e *passthroughEntry) status(context.Context, peer.StatusRequest) (peer.StatusReply, error) {
 	v := e.node.Gossip.View()
-	return peer.StatusReply{Instance: e.settings.Instance, Digest: v.Digest, Members: len(v.Members)}, nil
+	return peer.StatusReply{Instance: e.settings.Instance, Digest: v.Digest, Members: len(v.Members), Ejected: e.ejections.ejected()}, nil
 }
 
 // find returns the flows of a caller that this entry has in its flow table.
--- a/entry/cmd/settings.go
+++ b/entry/cmd/settings.go
@@ -50,6 +50,9 @@
 	TolerateDataCentres int `yaml:"tolerateDataCentres"`
 	// Evacuations makes the entry place no new flows on the hosts of evacuated data centres. It is used only with a Form.
 	Evacuations bool `yaml:"evacuations"`
+	// Ejection makes the entry place no new flows on hosts whose answers are far worse than those of the service's other
+	// hosts. It is used only with a Form.
+	Ejection bool `yaml:"ejection"`
 }
 
 // Validate returns all violations in the settings.
--- a/kernel/control/registrar.go
+++ b/kernel/control/registrar.go
@@ -251,8 +251,8 @@
 	return has
 }
 
-// writeSelf writes this instance's fact to the store, unless only its incarnation or version differ from what the store
-// holds. It removes the object once the target has terminated. It returns false if the call must be repeated.
+// writeSelf writes this instance's fact to the store, unless only its incarnation, version or health differ from what the
+// store holds. It removes the object once the target has terminated. It returns false if the call must be repeated.
 func (r *Registrar) writeSelf(ctx context.Context) bool {
 	if r.stopping.Load() {
 		return true
@@ -268,7 +268,7 @@
 	if !done || !ok {
 		return ctx.Err() != nil
 	}
-	if r.objectExists && f.Body == r.written.Body && now.Sub(r.writtenAt) < rewriteInterval {
+	if r.objectExists && facts.EqualExceptHealth(f, r.written) && now.Sub(r.writtenAt) < rewriteInterval {
 		return true
 	}
 	if gone {
--- a/kernel/dataplane/recorder.go
+++ b/kernel/dataplane/recorder.go
@@ -149,6 +149,8 @@
 	flow.ActionCold:             events.HostCold,
 	flow.ActionWarm:             events.HostWarm,
 	flow.ActionPaceChanged:      events.PaceChanged,
+	flow.ActionHostEjected:      events.HostEjected,
+	flow.ActionHostReturned:     events.HostReturned,
 }
 
 // eventFor returns the event that logs decisions with an action.
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -73,4 +73,7 @@
 	HostCold            = define(536, "hostCold", slog.LevelInfo, "target says that it is cold, its new flows are limited; count: requests per second that it can process meanwhile; ageMs: remaining time by its announcement")
 	HostWarm            = define(537, "hostWarm", slog.LevelInfo, "target is no longer cold, its new flows are not limited; ageMs: time since it was taken as cold")
 	PaceChanged         = define(538, "paceChanged", slog.LevelInfo, "limit on the concurrent requests of a target that started or recovered has changed; count: the limit, 0 if it is removed; ageMs: time of the last answer")
+	HostEjected         = define(560, "hostEjected", slog.LevelWarn, "host gets no new flows from this entry because its answers are far worse than those of the service's other hosts; count: ejected hosts of the service, ageMs: time until it is tried again")
+	HostReturned        = define(561, "hostReturned", slog.LevelInfo, "ejected host gets new flows again; see the reason; count: hosts of the service that are still ejected, ageMs: time for which it was ejected")
+	HealthChanged       = define(562, "healthChanged", slog.LevelInfo, "agent reports another figure for its target's answers; count: failing requests in percent")
 )
--- a/kernel/facts/member.go
+++ b/kernel/facts/member.go
@@ -50,6 +50,8 @@
 	// RouteQuestions is set by agents that understand questions about all flows of a route. An agent of an older build
 	// would deny them as it denies an unknown flow.
 	RouteQuestions bool `json:"routeQuestions,omitempty"`
+	// Health is what an agent says of its target's answers. It is nil if the agent says nothing, and for older builds.
+	Health *Health `json:"health,omitempty"`
 	// Incarnation is that of the fact that the member was decoded from, and 0 for a member that was not decoded.
 	Incarnation uint64 `json:"-"`
 }
--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -140,6 +140,7 @@
 	for len(a.handshakes) > 0 && now.Sub(a.handshakes[0].started) > handshakeTimeout {
 		af, known := a.flows.Peek(a.handshakes[0].flow)
 		if known && !af.requested && now.Sub(af.busySince) > handshakeTimeout {
+			a.scoreHandshake(now, a.handshakes[0].flow, af)
 			a.setIdle(af)
 		}
 		a.handshakes = a.handshakes[1:]
--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -52,6 +52,8 @@
 	ColdLimits ColdLimits
 	// Paced limits the target's concurrent requests after its start or recovery.
 	Paced bool
+	// Scored makes the agent score the target's answers for Health.
+	Scored bool
 
 	plan *plan.Plan
 	// target is the latest known state of the target; lastHeartbeat is when the target itself last reported it.
@@ -87,6 +89,7 @@
 	serviceTimes serviceTimes
 	// competition holds what the routes of the service want by their priority.
 	competition competition
+	health      targetHealth
 }
 
 // agentFlow is an agent's state for one flow.
@@ -102,6 +105,9 @@
 	// serving is set while the flow has a slot of the target, which it has had since servedSince.
 	serving     bool
 	servedSince time.Time
+	// unscored is since when a request has no answer, or zero if the request is answered or already scored. lastScored is when
+	// a request of the flow last was.
+	unscored, lastScored time.Time
 	// queued is set while the flow is in occupancy.waiting.
 	queued bool
 	// requested is set once the caller has sent data.
@@ -284,15 +290,18 @@
 	}
 	switch {
 	case hdr.RST:
+		a.scoreAbandoned(now, f, af)
 		a.setIdle(af)
 		af.state, af.callerClosed = stateClosed, true
 	case hdr.FIN:
+		a.scoreAbandoned(now, f, af)
 		af.callerClosed = true
 	case hdr.Length > 0:
 		// Flows that have ended, or whose holder is only being located, do not count as load.
 		if af.state == stateOpening || af.state == stateOpen {
 			if af.takesNewData(hdr) {
 				a.setBusy(af, now)
+				a.scoreRequest(now, af)
 			}
 			a.recordRequest(now, f, af, packet, out)
 		}
--- a/kernel/flow/candidates.go
+++ b/kernel/flow/candidates.go
@@ -61,7 +61,7 @@
 		if s.first.takes(r, limit) {
 			s.first.add(r, limit)
 		}
-		if s.candidates.takes(r, maxCandidates) && e.mayTake(now, h, ef, allowTried) {
+		if s.candidates.takes(r, maxCandidates) && e.mayTake(now, h, ef, allowTried) && !e.withholds(r) {
 			s.candidates.add(r, maxCandidates)
 		}
 	}
--- a/kernel/flow/directory.go
+++ b/kernel/flow/directory.go
@@ -31,6 +31,8 @@
 	SynTrailer bool
 	// RouteQuestions reports whether the agent understands questions about all flows of a route.
 	RouteQuestions bool
+	// Health is what the agent says of the target's answers, or nil.
+	Health *facts.Health
 
 	nameHash uint64
 }
@@ -86,6 +88,7 @@
 			Down:           m.State == facts.StateDown,
 			SynTrailer:     m.SynTrailer,
 			RouteQuestions: m.RouteQuestions,
+			Health:         m.Health,
 			Evacuated:      evacuations.Active[m.DataCentre],
 			nameHash:       xxhash.Sum64String(m.Instance),
 		}
--- a/kernel/flow/entry.go
+++ b/kernel/flow/entry.go
@@ -53,6 +53,8 @@
 	// NewestPlan is the highest version of a plan that any instance has reported. The history of an older plan is
 	// incomplete. It may be set at any time between calls.
 	NewestPlan uint64
+	// Ejection makes the entry place no flows on hosts that behave far worse than the others of their service.
+	Ejection bool
 
 	plan      *plan.Plan
 	directory *Directory
@@ -74,6 +76,8 @@
 	hostLoads map[string]*hostLoad
 	// rooms summarises what hosts reported of their room.
 	rooms roomSummaries
+	// ejections holds the hosts that get no flows because of their answers.
+	ejections ejections
 	// chances holds how many flows of each route were turned away.
 	chances routeChances
 	// The buffers avoid allocations in chooseHost and searchGroupFor. candidateBuffer and loadBuffer hold the same hosts
@@ -143,7 +147,7 @@
 	for _, h := range d.byAddress {
 		hl := e.hostLoadOf(h.Instance)
 		if hl.host != nil && !hl.host.Target.SameIncarnation(h.Target) {
-			*hl = hostLoad{outstanding: hl.outstanding, flows: hl.flows, downSince: hl.downSince}
+			*hl = hostLoad{outstanding: hl.outstanding, flows: hl.flows, downSince: hl.downSince, withheld: hl.withheld}
 		}
 		hl.host = h
 		switch {
--- a/kernel/flow/liveness.go
+++ b/kernel/flow/liveness.go
@@ -81,6 +81,7 @@
 	ended := 0
 	for _, f := range a.flows.Keys() {
 		af, _ := a.flows.Peek(f)
+		a.scoreUnanswered(now, f, af)
 		if af.state == stateOpen && !af.callerClosed {
 			ended++
 			out.sendReset(a.Codec, a.Self, f, af.lastAck)
--- a/kernel/flow/load.go
+++ b/kernel/flow/load.go
@@ -41,6 +41,8 @@
 	refusedUntil time.Time
 	// coldUntil is until when the host counts as cold and full.
 	coldUntil time.Time
+	// withheld is the share of its flows that the host does not get because it is ejected or returns from that.
+	withheld float64
 	// downSince is when the host was marked as down, or zero if it is up.
 	downSince time.Time
 	// silent counts the questions in a row that the host did not answer. It is not asked about flows before askAfter.
@@ -107,6 +109,9 @@
 		return nil
 	}
 	e.rankBuffer = e.firstCandidates(now, f, g, ef, allowTried)
+	if allowTried && len(e.rankBuffer) == 0 {
+		e.rankBuffer = e.candidatesWithEjected(now, f, g, ef)
+	}
 	e.candidateBuffer = e.candidateBuffer[:0]
 	e.loadBuffer = e.loadBuffer[:0]
 	typical := e.rooms.typical(now)
--- a/kernel/flow/output.go
+++ b/kernel/flow/output.go
@@ -53,6 +53,9 @@
 	ActionWarm
 	// ActionPaceChanged changes the limit on a target's concurrent requests.
 	ActionPaceChanged
+	// ActionHostEjected stops placing flows on a host that behaves far worse than the others, and ActionHostReturned ends it.
+	ActionHostEjected
+	ActionHostReturned
 )
 
 // Decision records a decision about a flow and what it was based on.
--- a/kernel/flow/overload_test.go
+++ b/kernel/flow/overload_test.go
@@ -21,6 +21,7 @@
 	remoteDelay = 1400 * time.Microsecond
 	modelSlots  = 2
 	modelQueue  = 8
+	modelAnswer = 1000
 	giveUpAfter = 1400 * time.Millisecond
 )
 
@@ -32,6 +33,8 @@
 	share     float64
 	value     float64
 	lateValue float64
+	// once is set if a request of which a target may have run a part is not tried again.
+	once bool
 }
 
 // kindResult counts the requests of one kind.
@@ -59,7 +62,12 @@
 	work     map[gue.Endpoint]time.Duration
 	onAccept func(entry string, h *modelHost)
 	// rate is the number of requests in a second that begin in a data centre.
-	rate func(dataCentre string) float64
+	rate    func(dataCentre string) float64
+	members []facts.Member
+	// fault, if not nil, handles a request that has a slot and reports whether it did.
+	fault func(h *modelHost, f gue.Flow) bool
+	// errors holds the callers whose answer is an error.
+	errors map[gue.Endpoint]bool
 }
 
 type event struct {
@@ -141,6 +149,7 @@
 			})
 		}
 	}
+	m.members, m.errors = members, map[gue.Endpoint]bool{}
 	for _, e := range m.entries {
 		e.Update(m.now, p, NewDirectory(members))
 	}
@@ -212,6 +221,7 @@
 		return
 	}
 	r.tries++
+	r.answered = false
 	m.callerNumber++
 	r.caller = gue.Endpoint{Address: [4]byte{100, byte(m.callerNumber >> 16), byte(m.callerNumber >> 8), byte(m.callerNumber)}, Port: 1024}
 	var near []*Entry
@@ -309,12 +319,9 @@
 		f := h.queue[0]
 		h.queue = h.queue[1:]
 		h.serving++
-		m.after(m.work[f.Caller], func() {
-			h.serving--
-			delete(h.held, f)
-			m.fromTarget(h, encode(Header{Source: f.Service, Destination: f.Caller, Length: 1, Sequence: 2}))
-			m.serve(h)
-		})
+		if m.fault == nil || !m.fault(h, f) {
+			m.answerAfter(h, f, m.work[f.Caller], modelAnswer, false)
+		}
 	}
 }
 
@@ -334,10 +341,8 @@
 	switch {
 	case hdr.RST:
 		delete(m.callers, hdr.Destination)
-		if !r.answered {
-			result.resets++
-			m.open(r)
-		}
+		result.resets++
+		m.tryAgain(r)
 	case hdr.SYNACK:
 		if !r.answered {
 			r.answered = true
@@ -346,6 +351,10 @@
 	case hdr.Length > 0:
 		delete(m.callers, hdr.Destination)
 		m.fromCaller(r, Header{Acknowledged: hdr.Sequence + 1, FIN: true, Sequence: 2})
+		if m.errors[hdr.Destination] {
+			m.tryAgain(r)
+			return
+		}
 		switch elapsed := m.now.Sub(r.begun); {
 		case elapsed <= k.route.Objective:
 			result.inTime++
--- a/kernel/flow/placement.go
+++ b/kernel/flow/placement.go
@@ -77,6 +77,7 @@
 	ef.waitingSince = now
 	e.setStage(ef, hl, stageOpening)
 	e.forwardSYN(hl, packet, mark, out)
+	e.ejections.noteSent(now, service, mark)
 	out.record(Decision{
 		Action: action, Flow: f, Instance: hl.host.Instance, Reason: service, PlanVersion: e.plan.Version,
 		Priority: route.Priority, Remote: hl.host.DataCentre != e.DataCentre, Count: hl.outstanding, AgeMs: hl.serviceTime.Milliseconds(),
@@ -135,6 +136,7 @@
 	hl.penalizeDecline(now, hdr.Mark)
 	if hdr.Mark.Code == CodeBusy && !hdr.Mark.isCold() {
 		e.rooms.add(now, hl.room, hl.host != nil && hl.host.DataCentre == e.DataCentre)
+		e.ejections.noteReturned(now, hl)
 	}
 	ef, known := e.flows.Get(f)
 	if !known {
--- a/kernel/flow/probe.go
+++ b/kernel/flow/probe.go
@@ -52,6 +52,7 @@
 	for _, f := range a.flows.Keys() {
 		af, _ := a.flows.Peek(f)
 		age := now.Sub(af.lastPacket)
+		a.scoreHanging(now, f, af)
 		if af.locatingEntry.IsValid() && now.Sub(af.locateReceived) > bounceTimeout && a.answerFor(f) != answerDenied {
 			a.answerLocate(f, af, CodeMaybe, out)
 		}
--- a/kernel/flow/reply.go
+++ b/kernel/flow/reply.go
@@ -45,6 +45,7 @@
 	if hdr.SYN {
 		code = CodeFull
 		a.noteBounce()
+		a.scoreBounce(now, f)
 	}
 	a.Codec.SetMark(packet, Mark{Code: code, Value: a.digest})
 	out.send(a.entryAddress(value), packet)
@@ -71,9 +72,11 @@
 		af.synAckSequence, af.synAckSeen = hdr.Sequence, true
 		a.noteAccepted()
 	case hdr.RST:
+		a.scoreUnanswered(now, f, af)
 		a.setIdle(af)
 		af.state, af.callerClosed = stateClosed, true
 	case hdr.Length > 0 || hdr.FIN:
+		a.scoreAnswer(now, f, af, hdr.Length)
 		a.recordAnswer(now, f, af, out)
 	}
 	if hdr.Length > 0 && af.state <= stateOpening {
--- a/kernel/peer/gossip.go
+++ b/kernel/peer/gossip.go
@@ -194,6 +194,12 @@
 	g.publishSelf(now)
 }
 
+// SetHealth publishes what this instance says of its target's answers. It must be called on the control goroutine.
+func (g *Gossip) SetHealth(now time.Time, h *facts.Health) {
+	g.Self.Health = h
+	g.publishSelf(now)
+}
+
 // SelfFact returns the latest fact about this instance. It must be called on the control goroutine.
 func (g *Gossip) SelfFact() (facts.Fact, bool) {
 	return g.set.Get(facts.Key{Kind: facts.KindMember, Name: g.Self.Instance})
--- a/kernel/peer/operations.go
+++ b/kernel/peer/operations.go
@@ -41,4 +41,6 @@
 	Pace int `json:"pace,omitempty"`
 	// Cold is set if the agent limits the new flows of its target because it is cold.
 	Cold bool `json:"cold,omitempty"`
+	// Ejected holds the hosts that get no new flows from an entry because of their answers, by service.
+	Ejected map[string][]string `json:"ejected,omitempty"`
 }
