--- a/kernel/flow/ejection_test.go
+++ b/kernel/flow/ejection_test.go
@@ -270,6 +270,7 @@
 	{"three reset 42%, load 0.95", 0.95, sometimes(3, 0.42, resetFlow), nil, 1.05, []string{"a-0", "a-1", "a-2"}},
 	{"all 8 times slower, load 0.1", 0.1, sometimes(20, 1, answerSlowly), nil, 1, nil},
 	{"all reset 42%", 0.5, sometimes(20, 0.42, resetFlow), nil, 1, nil},
+	{"all fail 42%, small errors", 0.5, sometimes(20, 0.42, failQuickly), nil, 1, nil},
 	{"no fault, load 1.2", 1.2, nil, nil, 1.02, nil},
 	{"one witness in 20 hosts", 0.5, sometimes(20, 0.02, failQuickly), nil, 1, nil},
 	{"false sign: one answers 42% early, small, good", 0.5, sometimes(1, 0.42, answerQuickly), nil, 1, []string{"a-0"}},
--- a/kernel/outlier/judge.go
+++ b/kernel/outlier/judge.go
@@ -15,9 +15,11 @@
 	ejectOneIn = 5
 	// commonShare is the share of outliers from which the service as a whole is taken to be loaded.
 	commonShare = 1.0 / 3
-	// confirmTime is how long a host must be an outlier. When a service as a whole becomes slow, its hosts say so within
-	// that time of each other.
+	// confirmTime is how long a host must be an outlier. Nothing is ejected while more than spreadShare of the hosts have
+	// become outliers within that time: the hosts of a service that fails as a whole say so one after another, and without
+	// this rule the first of them was ejected for some tenths of a second in two of six runs.
 	confirmTime = 600 * time.Millisecond
+	spreadShare = 0.1
 	// shareAbove is by how many percent of its requests a host must fail more, or answer more of them quickly, than the
 	// median host.
 	shareAbove = 20
@@ -200,6 +202,9 @@
 
 // eject ejects the worst outliers that were so for confirmTime.
 func (j *Judge) eject(now time.Time, changes []Change, hosts []Host, outliers []outlier, utilisation float64) []Change {
+	if j.spreads(now, hosts, outliers) {
+		return changes
+	}
 	for _, o := range outliers {
 		v := j.verdicts[o.name]
 		count := j.EjectedCount()
@@ -221,6 +226,17 @@
 	return changes
 }
 
+// spreads reports whether many hosts have just become outliers.
+func (j *Judge) spreads(now time.Time, hosts []Host, outliers []outlier) bool {
+	recent := 0
+	for _, o := range outliers {
+		if v := j.verdicts[o.name]; !v.ejected() && now.Sub(v.suspectSince) < confirmTime {
+			recent++
+		}
+	}
+	return float64(recent) > spreadShare*float64(len(hosts))
+}
+
 // limit returns how many of the hosts may be ejected.
 func limit(hosts []Host) int {
 	return len(hosts) / ejectOneIn
