Ejection: cold hosts are not scored

Cause: a cold host is slow and says so, for example after an evacuation; its score could have it ejected. Change: no samples while the agent takes the host as cold. Test: TestHostsThatSaySoAreNotScored.

--- a/kernel/flow/ejection_test.go
+++ b/kernel/flow/ejection_test.go
@@ -343,3 +343,19 @@
 	tn.openFlow(0, 1)
 	require.NotEmpty(t, tn.hosts[0].target.received)
 }
+
+// Guards against the ejection of hosts that are slow because they are cold, as all those of a data centre whose
+// evacuation has ended, or that end their flows because they drain.
+func TestHostsThatSaySoAreNotScored(t *testing.T) {
+	tn := newTestNetwork(t, 1, 1)
+	tn.startAgent(tn.hosts[0])
+	a := tn.hosts[0].agent
+	a.Scored, a.cold.rate = true, 25
+	require.False(t, a.scores(tn.now), "cold")
+	a.ObserveWarmup(tn.now, 0, true, &Output{})
+	require.True(t, a.scores(tn.now))
+	draining := *a.target
+	draining.State = facts.TargetDraining
+	a.UpdateTarget(tn.now, draining, true, &Output{})
+	require.False(t, a.scores(tn.now), "draining")
+}
--- a/kernel/flow/health.go
+++ b/kernel/flow/health.go
@@ -41,9 +41,10 @@
 	return a.health.reporter.Said()
 }
 
-// scores reports whether requests are scored now. A target that drains may close its flows as it likes.
-func (a *Agent) scores() bool {
-	return a.Scored && a.target != nil && a.target.State == facts.TargetReady
+// scores reports whether requests are scored now. A target that drains may close its flows as it likes, and one that is
+// cold says that it is slow.
+func (a *Agent) scores(now time.Time) bool {
+	return a.Scored && a.target != nil && a.target.State == facts.TargetReady && !a.cold.isCold(now)
 }
 
 // scoreRequest records that the caller sent data that the target has not answered.
@@ -67,7 +68,7 @@
 		a.scoreUnanswered(now, f, af)
 		return
 	}
-	if a.scores() && !af.unscored.IsZero() {
+	if a.scores(now) && !af.unscored.IsZero() {
 		expected := expectedTime
 		if r := a.route(f); r != nil && r.Objective > 0 {
 			expected = r.Objective
@@ -82,7 +83,7 @@
 
 // scoreUnanswered scores a request that gets no answer.
 func (a *Agent) scoreUnanswered(now time.Time, f gue.Flow, af *agentFlow) {
-	if a.scores() && !af.unscored.IsZero() {
+	if a.scores(now) && !af.unscored.IsZero() {
 		a.health.score.Failure(now, f.Hash(gue.Key{}))
 		af.lastScored = now
 	}
@@ -108,14 +109,14 @@
 
 // scoreBounce scores a SYN that the target returned although it has a free slot.
 func (a *Agent) scoreBounce(now time.Time, f gue.Flow) {
-	if a.scores() && a.busyCount < a.slots() {
+	if a.scores(now) && a.busyCount < a.slots() {
 		a.health.score.Failure(now, f.Hash(gue.Key{}))
 	}
 }
 
 // scoreHandshake scores a SYN that the target has not answered within handshakeTimeout.
 func (a *Agent) scoreHandshake(now time.Time, f gue.Flow, af *agentFlow) {
-	if a.scores() && !af.synAckSeen && !a.liveness.absent {
+	if a.scores(now) && !af.synAckSeen && !a.liveness.absent {
 		a.health.score.Failure(now, f.Hash(gue.Key{}))
 	}
 }
