--- a/coltsfootline/cmd/whereText.go
+++ b/coltsfootline/cmd/whereText.go
@@ -11,7 +11,6 @@
 
 	"github.com/coltsfootline/coltsfootline/kernel/events"
 	"github.com/coltsfootline/coltsfootline/kernel/flow"
-	"github.com/coltsfootline/coltsfootline/kernel/placement"
 )
 
 // printWhere prints an explanation for people.
@@ -145,7 +144,7 @@
 	switch {
 	case !local:
 		return ", which has no candidate"
-	case r.Policy == placement.DefaultFlowPolicy:
+	case r.Policy == "leastExpectedWait":
 		return ", whose candidates all have a longer expected wait"
 	}
 	return ""
--- a/kernel/flow/dryRun.go
+++ b/kernel/flow/dryRun.go
@@ -48,6 +48,12 @@
 		copied := *r
 		c.chances[f.Service] = &copied
 	}
+	c.ejections.services = make(map[string]*serviceEjections, len(e.ejections.services))
+	for name, s := range e.ejections.services {
+		// Placement counts SYNs and does not change the judge.
+		copied := *s
+		c.ejections.services[name] = &copied
+	}
 	loads := loadCopies{}
 	c.hostLoads = map[string]*hostLoad{}
 	if g := c.groupFor(f); g != nil {
