Route history: kept in the store for entries that start

Cause: when all entries and agents are killed while targets live on, no instance has a history of the plans before. Searches then need denials of the hosts of services that never had the route, whose agents are unsure, so that dead flows end as flowUncertain for a minute.

Change: the entry that writes the audit trail keeps the history in history/routes, with conditional writes when the services of a route change. An entry that starts reads it beside the plan, and takes it as the history before its first plan if its version and services fit.

--- a/kernel/control/auditor.go
+++ b/kernel/control/auditor.go
@@ -77,7 +77,8 @@
 func (a *Auditor) RecordPlan(now time.Time, p *plan.Plan) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if a.plan != nil {
+	// A plan of the same version only has a longer history.
+	if a.plan != nil && a.plan.Version != p.Version {
 		a.enqueue(audit.NewPlanRecord(now, a.Self, a.plan, p))
 	}
 	a.plan = p
--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -70,7 +70,7 @@
 	n.started = time.Now()
 	n.Plans = &Plans{
 		Store: n.Store, Format: n.Format, Pool: n.pool, Logger: n.Logger, OnPlan: n.activatePlan, ShouldWatch: n.shouldWatch,
-		Self: n.Self.Control, LinkMbps: n.Self.LinkMbps, ReadCopy: n.Self.Role == facts.RoleEntry,
+		Self: n.Self.Control, LinkMbps: n.Self.LinkMbps, ReadCopy: n.Self.Role == facts.RoleEntry, ReadHistory: n.Self.Role == facts.RoleEntry,
 	}
 	n.Gossip = &peer.Gossip{
 		Self:           n.Self,
@@ -123,6 +123,8 @@
 		n.Auditor.Start(ctx)
 		w := &planCopyWriter{Store: n.Store, Logger: n.Logger, Plans: n.Plans, IsWriter: n.isAuditWriter}
 		go w.run(ctx)
+		h := &planHistoryWriter{Store: n.Store, Logger: n.Logger, Plans: n.Plans, IsWriter: n.isAuditWriter}
+		go h.run(ctx)
 	}
 	context.AfterFunc(ctx, n.pool.Close)
 	return nil
--- a/kernel/control/planCopy.go
+++ b/kernel/control/planCopy.go
@@ -118,19 +118,23 @@
 }
 
 // swap replaces the plan in use, which may be nil, and reports whether it was still current. A first plan becomes the
-// successor of the copy. swap returns nil if the first plan is older than the copy.
+// successor of the copy and of the stored history. swap returns nil if the first plan is older than the copy.
 func (p *Plans) swap(now time.Time, current, next *plan.Plan) (*plan.Plan, bool) {
 	if current != nil {
 		return next, p.current.CompareAndSwap(current, next)
 	}
 	p.copy.mutex.Lock()
 	defer p.copy.mutex.Unlock()
-	if next.Version < p.copy.floor.Load() {
+	switch {
+	case next.Version < p.copy.floor.Load():
 		return nil, false
+	case p.current.Load() != nil:
+		return next, false
 	}
 	if copied := p.copy.used.Load(); copied != nil {
 		next = succeedCopy(now, copied, next)
 	}
+	next = p.beginHistory(now, next)
 	return next, p.current.CompareAndSwap(nil, next)
 }
 
--- a/kernel/control/planHistory_test.go
+++ b/kernel/control/planHistory_test.go
@@ -35,9 +35,13 @@
 	return p
 }
 
-// planObject returns the store object of a plan that gives one service to the zero address.
-func planObject(t *testing.T, version uint64, service string) store.Object {
-	spec, err := json.Marshal(plan.Plan{Version: version, Routes: []plan.Route{{Shares: []plan.Share{{Service: service}}}}})
+// planObject returns the store object of a plan that gives services to the zero address.
+func planObject(t *testing.T, version uint64, services ...string) store.Object {
+	var shares []plan.Share
+	for _, s := range services {
+		shares = append(shares, plan.Share{Service: s})
+	}
+	spec, err := json.Marshal(plan.Plan{Version: version, Routes: []plan.Route{{Shares: shares}}})
 	require.NoError(t, err)
 	return store.Object{Kind: "config", Name: "main", Revision: version, Spec: spec}
 }
--- a/kernel/control/plans.go
+++ b/kernel/control/plans.go
@@ -97,6 +97,8 @@
 	ShouldWatch func(now time.Time) bool
 	// ReadCopy makes Start read the compact copy of the plan, which is used until there is a plan.
 	ReadCopy bool
+	// ReadHistory makes Start read the stored history of the plan, which becomes part of that of the first plan.
+	ReadHistory bool
 
 	current atomic.Pointer[plan.Plan]
 	// newest is the highest version that was reported or applied.
@@ -106,6 +108,7 @@
 	sources  planSources
 	server   planServer
 	copy     planCopy
+	history  startHistory
 	health   dependencyHealth
 }
 
@@ -116,6 +119,9 @@
 	if p.ReadCopy {
 		go p.runCopyRead(ctx)
 	}
+	if p.ReadHistory {
+		go p.runHistoryRead(ctx)
+	}
 }
 
 // prepare initialises the fields that ObserveVersion uses, because peers may report versions before Start.
--- a/kernel/plan/plan.go
+++ b/kernel/plan/plan.go
@@ -56,8 +56,13 @@
 }
 
 // Precedes reports whether p, which may be nil, gives way to next. Plans of the same version may differ in their history.
+// The longer one stays.
 func (p *Plan) Precedes(next *Plan) bool {
-	return p == nil || p.Provisional || next.Version >= p.Version
+	if p == nil || p.Provisional || next.Version > p.Version {
+		return true
+	}
+	longer := p.History != nil && (next.History == nil || p.History.Since.Before(next.History.Since))
+	return next.Version == p.Version && !longer
 }
 
 // Find returns the route of the address, or nil if there is none.
