--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -121,15 +121,20 @@
 	}
 	if n.Auditor != nil {
 		n.Auditor.Start(ctx)
-		w := &planCopyWriter{Store: n.Store, Logger: n.Logger, Plans: n.Plans, IsWriter: n.isAuditWriter}
-		go w.run(ctx)
-		h := &planHistoryWriter{Store: n.Store, Logger: n.Logger, Plans: n.Plans, IsWriter: n.isAuditWriter}
-		go h.run(ctx)
+		n.startPlanWriters(ctx)
 	}
 	context.AfterFunc(ctx, n.pool.Close)
 	return nil
 }
 
+// startPlanWriters starts what keeps the copy and the history of the plan in the store up to date.
+func (n *Node) startPlanWriters(ctx context.Context) {
+	c := &planCopyWriter{Store: n.Store, Logger: n.Logger, Plans: n.Plans, IsWriter: n.isAuditWriter}
+	go c.run(ctx)
+	h := &planHistoryWriter{Store: n.Store, Logger: n.Logger, Plans: n.Plans, IsWriter: n.isAuditWriter}
+	go h.run(ctx)
+}
+
 // onChange passes the members and evacuations of a new view to the auditor and to OnMembers. It runs on the control goroutine.
 func (n *Node) onChange(now time.Time, v *peer.View) {
 	n.members.Store(&v.Members)
--- a/kernel/control/planHistoryWriter.go
+++ b/kernel/control/planHistoryWriter.go
@@ -70,7 +70,7 @@
 		delay := w.retryDelay/2 + rand.N(w.retryDelay/2)
 		w.retryAt = now.Add(delay)
 		countHistoryWrite("failed")
-		events.PlanHistoryUnwritten.Log(w.Logger, slog.Uint64("planVersion", p.Version), events.ErrorAttr(err),
+		events.PlanHistoryUnsaved.Log(w.Logger, slog.Uint64("planVersion", p.Version), events.ErrorAttr(err),
 			slog.Int64("ageMs", delay.Milliseconds()))
 		return
 	}
