Stored history: the writer uses what the instance read at its start

Cause: the first writer of a fleet read history/routes again one second after its start. rig/store TestLifeOfAgentCostsFourCalls counted that read as one of a plan when the run was slow.

Result: TestLifeOfAgentCostsFourCalls and TestEntryStartsWithTheHistory pass; a start of an entry costs one read.

--- a/kernel/control/planHistoryWriter.go
+++ b/kernel/control/planHistoryWriter.go
@@ -38,6 +38,8 @@
 	stored   plan.StoredHistory
 	revision uint64
 	known    bool
+	// begun is set once the writer has taken over what the instance read at its start.
+	begun bool
 	// changedAt is when the object was last read or written.
 	changedAt time.Time
 	// retryAt is when a failed call may be repeated, and retryDelay is the delay before it.
@@ -58,6 +60,9 @@
 	if p == w.done && (w.due.IsZero() || now.Before(w.due)) {
 		return
 	}
+	if h := &w.Plans.history; !w.begun {
+		w.begun, w.known, w.stored, w.revision, w.changedAt = true, h.found, h.stored, h.revision, now
+	}
 	if !w.IsWriter() {
 		// Another instance may change the object.
 		w.known = false
