--- a/kernel/control/planHistoryStore_test.go
+++ b/kernel/control/planHistoryStore_test.go
@@ -99,7 +99,9 @@
 			require.Equal(t, []string{"b"}, earlierServices(p, 0))
 			require.Equal(t, []string{"b"}, earlierServices(p, 64*time.Second), "until the last flow has ended")
 			require.Empty(t, earlierServices(p, 2*time.Minute))
+			reads := s.reads
 			newHistoryWriter(s, p).runFor(time.Now(), time.Minute)
+			require.Equal(t, reads, s.reads, "read at the start")
 			require.LessOrEqual(t, s.writes, 3)
 
 			w = newHistoryWriter(s, newTestPlans())
