A SYN of another service does not set the rate of a cold host; last scores

Cause: an agent without a plan took the rate of a SYN's trailer before it checked the service that the trailer names. Change: the check comes first.

--- a/kernel/flow/admission.go
+++ b/kernel/flow/admission.go
@@ -26,13 +26,13 @@
 // the SYN to the entry. The trailer is empty if the entry is of an older build.
 func (a *Agent) handleSYN(now time.Time, from netip.AddrPort, f gue.Flow, trailer, packet []byte, hdr *Header, out *Output) {
 	service, rate := decodeTrailer(trailer)
-	if a.plan == nil && rate > 0 {
-		a.cold.rate = rate
-	}
 	if len(service) > 0 && string(service) != a.Service {
 		a.refuse(from, f, CodeRefused, "otherService", packet, out)
 		return
 	}
+	if a.plan == nil && rate > 0 {
+		a.cold.rate = rate
+	}
 	af, known := a.flows.Get(f)
 	// The SYN of a caller that closed the flow is a new flow.
 	if known && af.state != stateClosed && !af.callerClosed {
