flow: name the split SYN trailer for what it holds

HandleEntryPacket called the result of SplitTrailer the service, although the trailer also carries the optional rate since cold hosts are paced.

--- a/kernel/flow/agent.go
+++ b/kernel/flow/agent.go
@@ -236,7 +236,7 @@
 // HandleEntryPacket handles a packet from an entry.
 func (a *Agent) HandleEntryPacket(now time.Time, from netip.AddrPort, packet []byte, out *Output) {
 	a.ensureInitialized(now)
-	packet, service := a.Codec.SplitTrailer(packet)
+	packet, trailer := a.Codec.SplitTrailer(packet)
 	hdr, reason := a.Codec.Parse(packet)
 	if reason != gue.ReasonNone {
 		out.DropReason = reason
@@ -252,7 +252,7 @@
 	}
 	f := hdr.FlowFromCaller()
 	if hdr.SYN {
-		a.handleSYN(now, from, f, service, packet, &hdr, out)
+		a.handleSYN(now, from, f, trailer, packet, &hdr, out)
 		return
 	}
 	a.handleEstablished(now, from, f, packet, &hdr, out)
