--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -119,10 +119,15 @@
 
 // connect opens the flow.
 func (cf *clientFlow) connect() outcome {
+	return cf.connectOnce(openLimit)
+}
+
+// connectOnce opens the flow, but gives up after the limit.
+func (cf *clientFlow) connectOnce(limit time.Duration) outcome {
 	start, copies := time.Now(), 0
 	initial := cf.next
-	for time.Since(start) < openLimit {
-		wait := openLimit - time.Since(start)
+	for time.Since(start) < limit {
+		wait := limit - time.Since(start)
 		if copies < len(copyTimes) {
 			if left := copyTimes[copies] - time.Since(start); left <= 0 {
 				cf.send(flow.Header{SYN: true, Sequence: initial, Attempt: uint32(copies)}, nil)
@@ -151,8 +156,15 @@
 	return deadline
 }
 
-// request sends a request on the open flow and waits for its answer.
+// request sends a request on the open flow, waits for its answer, and records all three.
 func (cf *clientFlow) request(id string, limit time.Duration) outcome {
+	sent := time.Since(cf.client.world.started)
+	result := cf.exchange(id, limit)
+	cf.client.world.note("request %s on flow %s: sent at %.3f, %s, %s", id, shortID(cf.id), sent.Seconds(), whereRan(id), result)
+	return result
+}
+
+func (cf *clientFlow) exchange(id string, limit time.Duration) outcome {
 	data := []byte("POST /confirm HTTP/1.1\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n")
 	first := cf.next
 	cf.next += uint32(len(data))
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -33,6 +33,8 @@
 	// opened is the host that has the end of a flow's handshake.
 	opened map[flowID]*host
 	runs   map[string]int
+	// ran says where and when each request ran.
+	ran    map[string]string
 	broken []string
 	// syns holds what each host took as the opening packet of a flow.
 	syns []openingPacket
@@ -44,7 +46,7 @@
 	at   time.Time
 }
 
-var seen = observations{opened: map[flowID]*host{}, runs: map[string]int{}}
+var seen = observations{opened: map[flowID]*host{}, runs: map[string]int{}, ran: map[string]string{}}
 
 func (w *world) onSYN(h *host, f flowID) {
 	seen.mutex.Lock()
@@ -62,11 +64,22 @@
 	seen.mutex.Lock()
 	defer seen.mutex.Unlock()
 	seen.runs[id]++
+	seen.ran[id] = fmt.Sprintf("ran at %s at %.3f", h.id, time.Since(w.started).Seconds())
 	if seen.runs[id] > 1 {
 		w.note("request %s ran %d times", id, seen.runs[id])
 	}
 }
 
+// whereRan says where and when a request ran.
+func whereRan(id string) string {
+	seen.mutex.Lock()
+	defer seen.mutex.Unlock()
+	if text := seen.ran[id]; text != "" {
+		return text
+	}
+	return "did not run"
+}
+
 // violation records that the rule was broken.
 func (w *world) violation(format string, arguments ...any) {
 	text := fmt.Sprintf(format, arguments...)
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -45,6 +45,8 @@
 	stableWindow    = 4 * time.Second
 	graceTime       = 6 * time.Second
 	idleTimeoutMs   = 12000
+	// storeAnswer is how long the store takes for an answer.
+	storeAnswer = 4 * time.Millisecond
 )
 
 var zones = []string{"sohar", "saham", "khabura"}
@@ -59,13 +61,15 @@
 	mutex  sync.Mutex
 	record []string
 
-	store   rigstore.Server
-	entries []*node
-	sides   []*node
-	hosts   []*host
-	router  router
-	clients []*client
-	fatal   string
+	store rigstore.Server
+	// storePort is the port at which the processes reach the store.
+	storePort int
+	entries   []*node
+	sides     []*node
+	hosts     []*host
+	router    router
+	clients   []*client
+	fatal     string
 }
 
 // note adds a line to the record.
@@ -81,7 +85,7 @@
 
 // newWorld finds a free loopback network and starts the store in it.
 func newWorld(root, folder string) (*world, error) {
-	w := &world{root: root, folder: folder, started: time.Now()}
+	w := &world{root: root, folder: folder, started: time.Now(), storePort: portControl}
 	var listener net.Listener
 	for i := range 200 {
 		n := (os.Getpid() + i*7) % 40000
@@ -94,7 +98,13 @@
 	if listener == nil {
 		return nil, fmt.Errorf("no free loopback network")
 	}
-	go func() { _ = http.Serve(listener, w.store.Handler()) }()
+	handler := w.store.Handler()
+	go func() {
+		_ = http.Serve(listener, http.HandlerFunc(func(r http.ResponseWriter, q *http.Request) {
+			time.Sleep(storeAnswer)
+			handler.ServeHTTP(r, q)
+		}))
+	}()
 	w.router.world = w
 	return w, nil
 }
@@ -209,7 +219,7 @@
 			"packets: " + w.address(machine, portPackets).String(),
 			"admin: " + w.address(machine, portAdmin).String(),
 			"readiness: " + w.address(machine, portReady).String(), "readinessPath: /ready",
-			"store: http://" + w.address(hostStore, portControl).String(), "tolerateDataCentres: 0",
+			"store: http://" + w.address(hostStore, w.storePort).String(), "tolerateDataCentres: 0",
 		}
 	}
 	for i := range entries {
