Log and count what a return of the store from an older copy does

Change: the client reads the store's era; events storeReturned, ownObjectWritten and planBehind; gauges coltsfootline_store_era and coltsfootline_plan_stored_version. No decision depends on them yet.

--- a/entry/cmd/entry.go
+++ b/entry/cmd/entry.go
@@ -122,6 +122,7 @@
 	if err != nil {
 		return err
 	}
+	client.Observe(e.process.Logger)
 	watcher := &storeWatcher{client: client, name: services.DocumentName, gossip: gossip, logger: e.process.Logger}
 	go watcher.run(lifetime)
 	if err := e.forwarder.Start(lifetime); err != nil {
--- a/entry/cmd/storeWatcher.go
+++ b/entry/cmd/storeWatcher.go
@@ -71,7 +71,7 @@
 
 // publish publishes an object to the other instances as a fact.
 func (w *storeWatcher) publish(ctx context.Context, o store.Object) {
-	events.StoreDocument.Log(w.logger, slog.String("object", o.Name), slog.Uint64("version", o.Revision))
+	events.StoreDocument.Log(w.logger, slog.String("object", o.Name), slog.Uint64("version", o.Revision), slog.Uint64("era", o.Era))
 	f := facts.Fact{Key: facts.Key{Kind: facts.KindDocument, Name: o.Name}, Version: o.Revision, Body: string(o.Spec)}
 	w.gossip.Do(ctx, func(now time.Time) { w.gossip.Accept(now, []facts.Fact{f}) })
 }
--- a/kernel/control/auditor_test.go
+++ b/kernel/control/auditor_test.go
@@ -33,6 +33,8 @@
 
 func (plainDialect) DecodePage(string, []byte) (store.Page, error) { return store.Page{}, nil }
 
+func (plainDialect) DecodeEra(http.Header) (uint64, bool) { return 0, false }
+
 // Pattern: the members of a large fleet change faster than the trail is written. Records that are queued during a write
 // must not be dropped with those that it contains, and those that it contains are not lost.
 func TestRecordsQueuedDuringAWriteAreKept(t *testing.T) {
--- a/kernel/control/evacuations.go
+++ b/kernel/control/evacuations.go
@@ -98,7 +98,8 @@
 		}
 		v.state.applyList(page)
 		v.listed, v.revision = true, page.Revision
-		events.EvacuationsRead.Log(v.Logger, slog.Int("count", len(page.Objects)), slog.Uint64("revision", page.Revision))
+		events.EvacuationsRead.Log(v.Logger, slog.Int("count", len(page.Objects)), slog.Uint64("revision", page.Revision),
+			slog.Uint64("era", page.Era))
 		v.publish(ctx)
 		return nil
 	}
--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -108,6 +108,7 @@
 	server := &peer.Server{Address: n.Self.Control, Handlers: all, Logger: n.Logger}
 	n.Plans.prepare()
 	metrics.GetOrCreateGauge("coltsfootline_plan_version", func() float64 { return float64(n.Plans.Version()) })
+	metrics.GetOrCreateGauge("coltsfootline_plan_stored_version", func() float64 { return float64(n.Plans.stored.Load()) })
 	metrics.GetOrCreateGauge("coltsfootline_plan_history_seconds", n.Plans.historySeconds)
 	metrics.GetOrCreateGauge("coltsfootline_members", func() float64 { return float64(len(n.Gossip.View().Members)) })
 	n.Gossip.Start(ctx)
--- a/kernel/control/plans.go
+++ b/kernel/control/plans.go
@@ -103,6 +103,9 @@
 	current atomic.Pointer[plan.Plan]
 	// newest is the highest version that was reported or applied.
 	newest atomic.Uint64
+	// stored is the version of the plan that was last read from the store, or 0. An instance that no longer reads the store
+	// keeps the last one.
+	stored atomic.Uint64
 	// reported is signalled when a peer reports a newer plan.
 	reported chan struct{}
 	sources  planSources
@@ -244,11 +247,21 @@
 		return
 	}
 	now := time.Now()
+	p.observeStored(plans[len(plans)-1].plan.Version, objects[len(objects)-1])
 	p.apply(now, source, plans[len(plans)-1].revision, func(current *plan.Plan) *plan.Plan {
 		return latestOf(now, current, plans)
 	})
 }
 
+// observeStored reports a stored plan that is older than the one in use.
+func (p *Plans) observeStored(version uint64, o store.Object) {
+	p.stored.Store(version)
+	if used := p.Version(); version < used {
+		events.PlanBehind.Log(p.Logger, slog.Uint64("planVersion", used), slog.Uint64("storedVersion", version),
+			slog.Uint64("revision", o.Revision), slog.Uint64("era", o.Era))
+	}
+}
+
 // sequentialPlan is a plan read from the store. Plans between it and the previous one may be missing if afterGap is set.
 type sequentialPlan struct {
 	plan     *plan.Plan
--- a/kernel/control/registrar.go
+++ b/kernel/control/registrar.go
@@ -191,7 +191,8 @@
 		all = append(all, f)
 		r.restoreSelf(f)
 	}
-	events.MembersRead.Log(r.Logger, slog.Int("members", len(all)), slog.Uint64("revision", page.Revision))
+	events.MembersRead.Log(r.Logger, slog.Int("members", len(all)), slog.Uint64("revision", page.Revision),
+		slog.Uint64("era", page.Era))
 	return r.Gossip.Do(ctx, func(now time.Time) {
 		r.Gossip.Accept(now, all)
 		r.listed.Store(true)
@@ -268,22 +269,33 @@
 	if !done || !ok {
 		return ctx.Err() != nil
 	}
-	if r.objectExists && facts.EqualExceptHealth(f, r.written) && now.Sub(r.writtenAt) < rewriteInterval {
+	unchanged := r.objectExists && facts.EqualExceptHealth(f, r.written)
+	if unchanged && now.Sub(r.writtenAt) < rewriteInterval {
 		return true
 	}
 	if gone {
 		return r.deleted.Load() || !r.objectExists || r.delete(ctx, f)
 	}
 	r.deleted.Store(false)
+	reason := "changed"
+	if unchanged {
+		reason = "expired"
+	}
+	return r.put(ctx, now, f, reason)
+}
+
+// put writes this instance's fact, published at now. It returns false if the call must be repeated.
+func (r *Registrar) put(ctx context.Context, now time.Time, f facts.Fact, reason string) bool {
 	spec, err := json.Marshal(f)
 	if err != nil {
 		events.FactRefused.Log(r.Logger, events.ErrorAttr(err))
 		return true
 	}
+	var object store.Object
 	if r.objectExists {
-		_, err = r.Store.Put(ctx, KindInstances, f.Name, spec)
+		object, err = r.Store.Put(ctx, KindInstances, f.Name, spec)
 	} else {
-		_, err = r.Store.Create(ctx, KindInstances, f.Name, spec)
+		object, err = r.Store.Create(ctx, KindInstances, f.Name, spec)
 	}
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
@@ -292,10 +304,13 @@
 		return false
 	}
 	r.health.observe(err)
-	if err == nil {
-		r.objectExists, r.written, r.writtenAt = true, f, now
+	if err != nil {
+		return false
 	}
-	return err == nil
+	r.objectExists, r.written, r.writtenAt = true, f, now
+	events.OwnObjectWritten.Log(r.Logger, slog.String("reason", reason), slog.Uint64("revision", object.Revision),
+		slog.Uint64("era", object.Era))
+	return true
 }
 
 // delete deletes the object of this instance, whose target has terminated according to f. It returns false if the call
--- a/kernel/dataplane/components.go
+++ b/kernel/dataplane/components.go
@@ -33,8 +33,9 @@
 	if err != nil {
 		return Components{}, err
 	}
-	client.OnCall = store.CountCall
 	writer := events.NewWriter(logs)
 	RegisterGauge("coltsfootline_log_records_dropped_total", func() float64 { return float64(writer.Dropped()) })
-	return Components{Codec: codec, Format: format, Store: client, Logger: events.NewLogger(writer, o, instance)}, nil
+	logger := events.NewLogger(writer, o, instance)
+	client.Observe(logger)
+	return Components{Codec: codec, Format: format, Store: client, Logger: logger}, nil
 }
--- a/kernel/store/store.go
+++ b/kernel/store/store.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,6 +43,16 @@
 	Spec json.RawMessage
 	// Deleted is set in the result of a watch if the object was deleted.
 	Deleted bool
+	// Era is that of the response that contained the object, see Position.
+	Era uint64
+}
+
+// Position is a point in the sequence of the store's changes. Revisions order the changes of one era only: a store that
+// returns from an older copy begins the next era, loses the changes after the copy and assigns their revisions again. Era is
+// 0 if the store does not report eras.
+type Position struct {
+	Era      uint64
+	Revision uint64
 }
 
 // Page is the response to a list or watch call.
@@ -51,6 +62,13 @@
 	More bool
 	// Revision is the revision of the store, where the next watch starts.
 	Revision uint64
+	// Era is that of the response.
+	Era uint64
+}
+
+// Position returns the position from which a watch reports the changes after the page.
+func (p Page) Position() Position {
+	return Position{Era: p.Era, Revision: p.Revision}
 }
 
 // Operation is the kind of a store call.
@@ -93,6 +111,8 @@
 	DecodeObject(kind string, body []byte) (Object, error)
 	// DecodePage decodes the response to a list or watch call.
 	DecodePage(kind string, body []byte) (Page, error)
+	// DecodeEra returns the era that a response reports, and false if it reports none.
+	DecodeEra(h http.Header) (era uint64, ok bool)
 }
 
 // DefaultDialect is used by programs whose settings don't name a dialect.
@@ -101,7 +121,7 @@
 // Dialects holds the registered dialects.
 var Dialects = kernel.Registry[Dialect]{Kind: "store dialect"}
 
-// Client calls the store at BaseURL, such as http://127.0.0.1:8000. NewClient sets all fields but OnCall.
+// Client calls the store at BaseURL, such as http://127.0.0.1:8000. NewClient sets all fields but the callbacks.
 type Client struct {
 	BaseURL string
 	Dialect Dialect
@@ -109,6 +129,15 @@
 	HTTP *http.Client
 	// OnCall is called for each call with its HTTP status, or 0 if there was no response. It may be nil.
 	OnCall func(o Operation, status int)
+	// OnReturn is called when a response shows that the store has returned from an older copy. It may be nil.
+	OnReturn func(previous, era uint64)
+
+	era atomic.Uint64
+}
+
+// Era returns the era of the latest response, or 0 if no response reported one.
+func (c *Client) Era() uint64 {
+	return c.era.Load()
 }
 
 // NewClient returns a client that uses the named dialect and an HTTP client with a short dial timeout.
@@ -153,7 +182,7 @@
 // Delete removes an object. The object must have the given revision unless that is 0. Deleting a missing object is not
 // an error.
 func (c *Client) Delete(ctx context.Context, kind, name string, revision uint64) error {
-	_, err := c.do(ctx, Call{Operation: OperationDelete, Kind: kind, Name: name, Revision: revision}, callTimeout)
+	_, _, err := c.do(ctx, Call{Operation: OperationDelete, Kind: kind, Name: name, Revision: revision}, callTimeout)
 	var notFound *NotFoundError
 	if errors.As(err, &notFound) {
 		return nil
@@ -192,7 +221,7 @@
 }
 
 func (c *Client) callObject(ctx context.Context, call Call) (Object, error) {
-	body, err := c.do(ctx, call, callTimeout)
+	body, era, err := c.do(ctx, call, callTimeout)
 	if err != nil {
 		return Object{}, err
 	}
@@ -200,11 +229,12 @@
 	if err != nil {
 		return Object{}, unavailable(call, err)
 	}
+	o.Era = era
 	return o, nil
 }
 
 func (c *Client) callPage(ctx context.Context, call Call, timeout time.Duration) (Page, error) {
-	body, err := c.do(ctx, call, timeout)
+	body, era, err := c.do(ctx, call, timeout)
 	if err != nil {
 		return Page{}, err
 	}
@@ -212,36 +242,58 @@
 	if err != nil {
 		return Page{}, unavailable(call, err)
 	}
+	p.Era = era
+	for i := range p.Objects {
+		p.Objects[i].Era = era
+	}
 	return p, nil
 }
 
-// do sends a call and returns the response body, or the error for the response's status.
-func (c *Client) do(ctx context.Context, call Call, timeout time.Duration) ([]byte, error) {
+// do sends a call and returns the response body and its era, or the error for the response's status.
+func (c *Client) do(ctx context.Context, call Call, timeout time.Duration) (body []byte, era uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	method, target, body, err := c.Dialect.Encode(call)
+	method, target, sent, err := c.Dialect.Encode(call)
 	if err != nil {
-		return nil, unavailable(call, err)
+		return nil, 0, unavailable(call, err)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, c.BaseURL+target, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, c.BaseURL+target, bytes.NewReader(sent))
 	if err != nil {
-		return nil, unavailable(call, err)
+		return nil, 0, unavailable(call, err)
 	}
-	if len(body) > 0 {
+	if len(sent) > 0 {
 		request.Header.Set("Content-Type", "application/json")
 	}
 	response, err := c.HTTP.Do(request)
 	if err != nil {
 		c.reportCall(call, 0)
-		return nil, unavailable(call, err)
+		return nil, 0, unavailable(call, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err = io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	c.reportCall(call, response.StatusCode)
 	if err != nil {
-		return nil, unavailable(call, err)
+		return nil, 0, unavailable(call, err)
+	}
+	era = c.observeEra(response.Header)
+	return body, era, c.statusError(call, response.StatusCode, body)
+}
+
+// observeEra records the era of a response and returns it. A response that reports none counts as one of the latest era.
+func (c *Client) observeEra(h http.Header) uint64 {
+	era, ok := c.Dialect.DecodeEra(h)
+	if !ok {
+		return c.Era()
+	}
+	for previous := c.Era(); era > previous; previous = c.Era() {
+		if !c.era.CompareAndSwap(previous, era) {
+			continue
+		}
+		if previous != 0 && c.OnReturn != nil {
+			c.OnReturn(previous, era)
+		}
 	}
-	return content, c.statusError(call, response.StatusCode, content)
+	return era
 }
 
 // statusError returns the error for an HTTP status, or nil if the call succeeded.
