Tests that fail: the store returns from an older copy, and odd objects

Change: the emulated store plays returns (Store-Era, 410 from revisions that it lacks, watches cut off).

--- a/kernel/store/store.go
+++ b/kernel/store/store.go
@@ -201,8 +201,8 @@
 		if err != nil {
 			return Page{}, err
 		}
-		if all.Revision == 0 {
-			all.Revision = p.Revision
+		if after == "" {
+			all.Revision, all.Era = p.Revision, p.Era
 		}
 		all.Objects = append(all.Objects, p.Objects...)
 		if !p.More || len(p.Objects) == 0 {
--- a/rig/store/control_test.go
+++ b/rig/store/control_test.go
@@ -1,9 +1,11 @@
 package store
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -26,6 +28,9 @@
 // waitLimit bounds every wait of these tests. It is generous, because the tests do not measure speed.
 const waitLimit = 30 * time.Second
 
+// oddMark is the stored form of testStore.oddSpec.
+const oddMark = `"odd object"`
+
 // testFormat decodes plans that are stored as the JSON form of plan.Plan.
 type testFormat struct{}
 
@@ -54,7 +59,9 @@
 	planReads   atomic.Int64
 	// refuse makes the store turn calls away that it returns true for. It may be nil.
 	refuse atomic.Pointer[func(r *http.Request) bool]
-	url    string
+	// oddSpec replaces oddMark in responses, since the JSON library does not encode all that another writer's can.
+	oddSpec atomic.Pointer[[]byte]
+	url     string
 }
 
 func startStore(t *testing.T) *testStore {
@@ -79,7 +86,16 @@
 			<-r.Context().Done()
 			return
 		}
-		handler.ServeHTTP(w, r)
+		odd := s.oddSpec.Load()
+		if odd == nil {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, r)
+		maps.Copy(w.Header(), recorder.Header())
+		w.WriteHeader(recorder.Code)
+		_, _ = w.Write(bytes.ReplaceAll(recorder.Body.Bytes(), []byte(oddMark), *odd))
 	}))
 	t.Cleanup(server.Close)
 	s.url = server.URL
--- a/rig/store/store.go
+++ b/rig/store/store.go
@@ -2,6 +2,7 @@
 package store
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -27,6 +28,17 @@
 	revision            uint64
 	changed             chan struct{}
 	dialect             platform.StoreDialect
+	// returns counts the calls of Restore. away is set while the store breaks off all calls.
+	returns uint64
+	away    bool
+}
+
+// Snapshot is a copy of the objects and the history at one revision.
+type Snapshot struct {
+	objects             map[objectKey]store.Object
+	history             []store.Object
+	lastDroppedRevision uint64
+	revision            uint64
 }
 
 // objectKey identifies an object.
@@ -53,7 +65,46 @@
 	s.notifyWatchers()
 }
 
+// Snapshot returns a copy to restore later.
+func (s *Server) Snapshot() Snapshot {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Snapshot{maps.Clone(s.objects), slices.Clone(s.history), s.lastDroppedRevision, s.revision}
+}
+
+// Restore makes the store return from a copy. It begins the next era, loses all changes since the copy and assigns their
+// revisions again. Waiting watches are broken off, and SetAway(true) ends.
+func (s *Server) Restore(c Snapshot) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.objects, s.history = maps.Clone(c.objects), slices.Clone(c.history)
+	s.lastDroppedRevision, s.revision = c.lastDroppedRevision, c.revision
+	s.returns++
+	s.away = false
+	s.notifyWatchers()
+}
+
+// SetAway makes the store break off all calls, waiting watches included, or serve them again.
+func (s *Server) SetAway(away bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.away = away
+	s.notifyWatchers()
+}
+
+// era returns the number that responses report, which rises with each return, and whether the store is away.
+func (s *Server) era() (era uint64, away bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.returns + 1, s.away
+}
+
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	era, away := s.era()
+	if away {
+		panic(http.ErrAbortHandler)
+	}
+	s.dialect.EncodeEra(w.Header(), era)
 	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 	c, err := s.dialect.DecodeCall(r)
 	if err != nil {
@@ -64,7 +115,7 @@
 	case store.OperationList:
 		s.writePage(w, s.list(c), false)
 	case store.OperationWatch:
-		s.watch(w, r, c)
+		s.watch(w, r, c, era)
 	default:
 		o, status := s.apply(c)
 		s.writeObject(w, o, status)
@@ -89,12 +140,15 @@
 }
 
 // watch responds with the changes since the call's revision. If there are none, it waits for changes until c.Wait is over
-// and then responds with an empty page.
-func (s *Server) watch(w http.ResponseWriter, r *http.Request, c store.Call) {
+// and then responds with an empty page. It breaks off if the store goes away or returns from a copy meanwhile.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, c store.Call, era uint64) {
 	deadline := time.NewTimer(c.Wait)
 	defer deadline.Stop()
 	for {
 		p, expired, changed := s.changesSince(c)
+		if now, away := s.era(); away || now != era {
+			panic(http.ErrAbortHandler)
+		}
 		switch {
 		case expired:
 			w.WriteHeader(http.StatusGone)
@@ -114,8 +168,8 @@
 	}
 }
 
-// changesSince returns the changes after the call's revision, whether the history no longer reaches back that far, and a
-// channel that is closed on the next change.
+// changesSince returns the changes after the call's revision, whether the store lacks that revision or the history since
+// then, and a channel that is closed on the next change.
 func (s *Server) changesSince(c store.Call) (store.Page, bool, chan struct{}) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -128,7 +182,7 @@
 			p.Objects = append(p.Objects, o)
 		}
 	}
-	return p, c.Revision < s.lastDroppedRevision, s.changed
+	return p, c.Revision < s.lastDroppedRevision || c.Revision > s.revision, s.changed
 }
 
 // apply executes a call for a single object and returns the object and the HTTP status. A call with revision 0 applies to
