A watch does not go on across a return of the store

Seen: a plan written after the return was in force nowhere, until the next change. A return between two watches passed unseen, and the next watch went on from a revision that the store had assigned again. Cause: a revision was taken for a position in the store's changes. It is one only within an era. Change: positions are era and revision. A watch from another era expires, one that waits ends when any call shows the next era, a listing across a return starts again, and a response of a passed era acknowledges nothing. Why it works: each response names its era, so no answer of the store that returned can be taken for one of before, however short the outage.

--- a/entry/cmd/storeWatcher.go
+++ b/entry/cmd/storeWatcher.go
@@ -33,40 +33,40 @@
 
 // run polls the store until ctx is done. It lists again if the store no longer has the revision to continue from.
 func (w *storeWatcher) run(ctx context.Context) {
-	var revision uint64
+	var from store.Position
 	wait := minStoreRetry
 	for ctx.Err() == nil {
-		next, err := w.poll(ctx, revision)
+		next, err := w.poll(ctx, from)
 		var expired *store.ExpiredError
 		switch {
 		case errors.As(err, &expired):
-			revision = 0
+			from = store.Position{}
 		case err != nil:
 			events.StoreUnavailable.Log(w.logger, events.ErrorAttr(err))
 			sleep(ctx, wait/2+rand.N(wait))
 			wait = min(2*wait, maxStoreRetry)
 		default:
-			wait, revision = minStoreRetry, next
+			wait, from = minStoreRetry, next
 		}
 	}
 }
 
-// poll lists the documents if revision is 0. Otherwise, it waits for changes after that revision. It returns the
-// revision to continue from.
-func (w *storeWatcher) poll(ctx context.Context, revision uint64) (uint64, error) {
+// poll lists the documents if from is the zero position. Otherwise, it waits for changes after it. It returns the position
+// to continue from.
+func (w *storeWatcher) poll(ctx context.Context, from store.Position) (store.Position, error) {
 	var page store.Page
 	var err error
-	if revision == 0 {
+	if from == (store.Position{}) {
 		page, err = w.client.List(ctx, services.DocumentKind, false)
 	} else {
-		page, err = w.client.Watch(ctx, services.DocumentKind, revision, watchWait)
+		page, err = w.client.Watch(ctx, services.DocumentKind, from, watchWait)
 	}
 	for _, o := range page.Objects {
 		if o.Name == w.name && !o.Deleted {
 			w.publish(ctx, o)
 		}
 	}
-	return page.Revision, err
+	return page.Position(), err
 }
 
 // publish publishes an object to the other instances as a fact.
--- a/kernel/control/evacuations.go
+++ b/kernel/control/evacuations.go
@@ -46,9 +46,9 @@
 	ShouldRead func(now time.Time) bool
 
 	state evacuationState
-	// listed is set while revision is where to watch from. Otherwise the next call lists the objects.
+	// listed is set while position is where to watch from. Otherwise the next call lists the objects.
 	listed   bool
-	revision uint64
+	position store.Position
 	health   dependencyHealth
 	// reported holds the evacuations that were last logged. It is accessed on the control goroutine only.
 	reported map[string]facts.Evacuation
@@ -97,13 +97,13 @@
 			return err
 		}
 		v.state.applyList(page)
-		v.listed, v.revision = true, page.Revision
+		v.listed, v.position = true, page.Position()
 		events.EvacuationsRead.Log(v.Logger, slog.Int("count", len(page.Objects)), slog.Uint64("revision", page.Revision),
 			slog.Uint64("era", page.Era))
 		v.publish(ctx)
 		return nil
 	}
-	page, err := v.Store.Watch(ctx, v.Kind, v.revision, evacuationWatchTimeout)
+	page, err := v.Store.Watch(ctx, v.Kind, v.position, evacuationWatchTimeout)
 	if err != nil {
 		return err
 	}
@@ -111,7 +111,7 @@
 	if len(page.Objects) > 0 {
 		// A watch without changes does not advance the revision. If the store lost its history meanwhile, the next watch
 		// fails as expired instead of passing over the changes that this one did not return.
-		v.revision = page.Revision
+		v.position = page.Position()
 	}
 	v.publish(ctx)
 	return nil
--- a/kernel/control/plans.go
+++ b/kernel/control/plans.go
@@ -177,50 +177,50 @@
 func (p *Plans) watchLoop(ctx context.Context) {
 	kind, _ := p.Format.Location()
 	retry := backoff{}
-	revision := uint64(0)
+	var from store.Position
 	for ctx.Err() == nil {
 		if !p.ShouldWatch(time.Now()) {
-			revision = 0
+			from = store.Position{}
 			sleep(ctx, watchCheckInterval)
 			continue
 		}
-		next, err := p.listOrWatch(ctx, kind, revision)
+		next, err := p.listOrWatch(ctx, kind, from)
 		p.health.observe(err)
 		var expired *store.ExpiredError
 		switch {
 		case errors.As(err, &expired):
-			revision = 0
+			from = store.Position{}
 		case err != nil:
 			// A watch without a reply may have missed changes, so that the next call lists the objects.
-			revision = 0
+			from = store.Position{}
 			retry.wait(ctx)
 		default:
-			revision, retry = next, backoff{}
+			from, retry = next, backoff{}
 		}
 	}
 }
 
-// listOrWatch lists the objects of a kind if revision is 0, and otherwise waits for changes after that revision. It
-// applies the latest plan and returns the revision from which to watch next.
-func (p *Plans) listOrWatch(ctx context.Context, kind string, revision uint64) (uint64, error) {
+// listOrWatch lists the objects of a kind if from is the zero position, and otherwise waits for changes after it. It applies
+// the latest plan and returns the position from which to watch next.
+func (p *Plans) listOrWatch(ctx context.Context, kind string, from store.Position) (store.Position, error) {
 	var page store.Page
 	var err error
-	if revision == 0 {
+	list := from == store.Position{}
+	if list {
 		page, err = p.Store.List(ctx, kind, false)
 	} else {
-		page, err = p.Store.Watch(ctx, kind, revision, watchTimeout)
+		page, err = p.Store.Watch(ctx, kind, from, watchTimeout)
 	}
 	if err != nil {
-		return 0, err
+		return store.Position{}, err
 	}
-	p.applyObjects(page.Objects, "store", revision == 0)
-	if revision == 0 {
+	p.applyObjects(page.Objects, "store", list)
+	if list {
 		p.contradictCopy(page)
-	}
-	if revision != 0 && len(page.Objects) > 0 {
+	} else if len(page.Objects) > 0 {
 		sleep(ctx, watchCoalesceDelay)
 	}
-	return page.Revision, nil
+	return page.Position(), nil
 }
 
 // applyObjects applies the latest plan among the given objects, whose order is that of their revisions. The earlier ones
--- a/kernel/store/errors.go
+++ b/kernel/store/errors.go
@@ -26,15 +26,28 @@
 		strconv.FormatUint(e.Current.Revision, 10)
 }
 
-// ExpiredError reports a watch from a revision that the store no longer keeps the history of.
+// ExpiredError reports a watch from a position whose history the store no longer keeps, or that is of an earlier era.
 type ExpiredError struct {
-	Kind     string
-	Revision uint64
+	Kind string
+	From Position
 }
 
-// Error returns a message with the kind and the revision.
+// Error returns a message with the kind and the position.
 func (e *ExpiredError) Error() string {
-	return "store: history of " + e.Kind + " since revision " + strconv.FormatUint(e.Revision, 10) + " is no longer available"
+	return "store: history of " + e.Kind + " since revision " + strconv.FormatUint(e.From.Revision, 10) + " of era " +
+		strconv.FormatUint(e.From.Era, 10) + " is no longer available"
+}
+
+// PassedEraError is the cause of an UnavailableError for a response of an era that has ended. What it acknowledges or
+// contains may be gone.
+type PassedEraError struct {
+	Era    uint64
+	Latest uint64
+}
+
+// Error returns a message with both eras.
+func (e *PassedEraError) Error() string {
+	return "response of era " + strconv.FormatUint(e.Era, 10) + ", but era " + strconv.FormatUint(e.Latest, 10) + " has begun"
 }
 
 // UnavailableError reports a call without a usable response. If the call was a write, it may have taken effect.
--- a/kernel/store/store.go
+++ b/kernel/store/store.go
@@ -132,12 +132,35 @@
 	// OnReturn is called when a response shows that the store has returned from an older copy. It may be nil.
 	OnReturn func(previous, era uint64)
 
-	era atomic.Uint64
+	era atomic.Pointer[eraScope]
 }
 
-// Era returns the era of the latest response, or 0 if no response reported one.
+// eraScope is an era with a context that is cancelled when a later one begins.
+type eraScope struct {
+	number  uint64
+	context context.Context
+	end     context.CancelFunc
+}
+
+func newEraScope(number uint64) *eraScope {
+	e := &eraScope{number: number}
+	e.context, e.end = context.WithCancel(context.Background())
+	return e
+}
+
+// currentEra returns the latest era that a response reported, or era 0.
+func (c *Client) currentEra() *eraScope {
+	e := c.era.Load()
+	if e == nil {
+		c.era.CompareAndSwap(nil, newEraScope(0))
+		e = c.era.Load()
+	}
+	return e
+}
+
+// Era returns the latest era that a response reported, or 0 if none did.
 func (c *Client) Era() uint64 {
-	return c.era.Load()
+	return c.currentEra().number
 }
 
 // NewClient returns a client that uses the named dialect and an HTTP client with a short dial timeout.
@@ -198,11 +221,15 @@
 	after := ""
 	for range maxPages {
 		p, err := c.callPage(ctx, Call{Operation: OperationList, Kind: kind, After: after, Stale: stale}, callTimeout)
-		if err != nil {
+		switch {
+		case err != nil:
 			return Page{}, err
-		}
-		if after == "" {
+		case after == "":
 			all.Revision, all.Era = p.Revision, p.Era
+		case p.Era != all.Era:
+			// The store has returned from an older copy since the first page.
+			all, after = Page{}, ""
+			continue
 		}
 		all.Objects = append(all.Objects, p.Objects...)
 		if !p.More || len(p.Objects) == 0 {
@@ -213,11 +240,22 @@
 	return Page{}, errors.WithStack(&TooManyPagesError{Kind: kind})
 }
 
-// Watch waits for at most the given time for changes of a kind after a revision. After an ExpiredError the caller must
-// list the objects again.
-func (c *Client) Watch(ctx context.Context, kind string, revision uint64, wait time.Duration) (Page, error) {
-	call := Call{Operation: OperationWatch, Kind: kind, Revision: revision, Wait: wait}
-	return c.callPage(ctx, call, wait+WatchMargin)
+// Watch waits for at most the given time for changes of a kind after a position. After an ExpiredError the caller must
+// list the objects again. A watch ends with this error as soon as another call shows that the store has returned from an
+// older copy.
+func (c *Client) Watch(ctx context.Context, kind string, from Position, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(c.currentEra().context, cancel)()
+	if from.Era != c.Era() {
+		return Page{}, errors.WithStack(&ExpiredError{Kind: kind, From: from})
+	}
+	call := Call{Operation: OperationWatch, Kind: kind, Revision: from.Revision, Wait: wait}
+	p, err := c.callPage(ctx, call, wait+WatchMargin)
+	if from.Era != c.Era() {
+		return Page{}, errors.WithStack(&ExpiredError{Kind: kind, From: from})
+	}
+	return p, err
 }
 
 func (c *Client) callObject(ctx context.Context, call Call) (Object, error) {
@@ -275,25 +313,29 @@
 	if err != nil {
 		return nil, 0, unavailable(call, err)
 	}
-	era = c.observeEra(response.Header)
+	if era = c.observeEra(response.Header); era < c.Era() {
+		return nil, 0, unavailable(call, &PassedEraError{Era: era, Latest: c.Era()})
+	}
 	return body, era, c.statusError(call, response.StatusCode, body)
 }
 
 // observeEra records the era of a response and returns it. A response that reports none counts as one of the latest era.
 func (c *Client) observeEra(h http.Header) uint64 {
-	era, ok := c.Dialect.DecodeEra(h)
+	number, ok := c.Dialect.DecodeEra(h)
+	latest := c.currentEra()
 	if !ok {
-		return c.Era()
+		return latest.number
 	}
-	for previous := c.Era(); era > previous; previous = c.Era() {
-		if !c.era.CompareAndSwap(previous, era) {
+	for ; number > latest.number; latest = c.currentEra() {
+		if !c.era.CompareAndSwap(latest, newEraScope(number)) {
 			continue
 		}
-		if previous != 0 && c.OnReturn != nil {
-			c.OnReturn(previous, era)
+		latest.end()
+		if latest.number != 0 && c.OnReturn != nil {
+			c.OnReturn(latest.number, number)
 		}
 	}
-	return era
+	return number
 }
 
 // statusError returns the error for an HTTP status, or nil if the call succeeded.
@@ -310,7 +352,7 @@
 		}
 		return errors.WithStack(&ConflictError{Current: current})
 	case status == http.StatusGone:
-		return errors.WithStack(&ExpiredError{Kind: call.Kind, Revision: call.Revision})
+		return errors.WithStack(&ExpiredError{Kind: call.Kind, From: Position{Era: c.Era(), Revision: call.Revision}})
 	}
 	return unavailable(call, &StatusError{Status: status})
 }
--- a/rig/store/returned_test.go
+++ b/rig/store/returned_test.go
@@ -85,7 +85,7 @@
 	require.NoError(t, err)
 	s.server.Restore(copied)
 	advance(t, c, 8)
-	_, err = c.Watch(context.Background(), "other", page.Revision, time.Second)
+	_, err = c.Watch(context.Background(), "other", page.Position(), time.Second)
 	var expired *store.ExpiredError
 	require.True(t, errors.As(err, &expired), "%v", err)
 }
--- a/rig/store/store_test.go
+++ b/rig/store/store_test.go
@@ -83,18 +83,18 @@
 	_, err = c.Create(ctx, "k", "a", testSpec(1))
 	require.NoError(t, err)
 	require.NoError(t, c.Delete(ctx, "k", "a", 0))
-	changes, err := c.Watch(ctx, "k", p.Revision, time.Second)
+	changes, err := c.Watch(ctx, "k", p.Position(), time.Second)
 	require.NoError(t, err)
 	require.Len(t, changes.Objects, 2)
 	require.True(t, changes.Objects[1].Deleted)
-	unchanged, err := c.Watch(ctx, "k", changes.Revision, 10*time.Millisecond)
+	unchanged, err := c.Watch(ctx, "k", changes.Position(), 10*time.Millisecond)
 	require.NoError(t, err)
 	require.Empty(t, unchanged.Objects)
 	server.DropHistory()
 	_, err = c.Create(ctx, "k", "b", testSpec(1))
 	require.NoError(t, err)
 	var expired *store.ExpiredError
-	_, err = c.Watch(ctx, "k", 0, time.Second)
+	_, err = c.Watch(ctx, "k", store.Position{Era: p.Era}, time.Second)
 	require.ErrorAs(t, err, &expired)
 }
 
@@ -118,7 +118,7 @@
 	defer close(release)
 	c := newTestClient(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
 	begin := time.Now()
-	_, err := c.Watch(context.Background(), "k", 1, 10*time.Millisecond)
+	_, err := c.Watch(context.Background(), "k", store.Position{Revision: 1}, 10*time.Millisecond)
 	require.True(t, errors.Is(err, context.DeadlineExceeded))
 	require.Less(t, time.Since(begin), 10*time.Second)
 }
