Evacuations are ordered by era and revision, and held across a return

A data centre that was evacuated after the return was not for any instance, since its facts had a greater revision from before. In a test, an evacuation ended because the store's copy lacked it. Cause: the store's revision was the version of a fact, and the greater one was taken for the newer; a listing was taken for complete although the operator had not yet written again what the store lost. Change: the era is the incarnation of the fact. Why it works: whatever is read after the return supersedes all from before it at every instance, and only what was read after the return, or its lasting absence, ends an evacuation.

--- a/kernel/control/evacuations.go
+++ b/kernel/control/evacuations.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -72,6 +74,9 @@
 			sleep(ctx, watchCheckInterval)
 			continue
 		}
+		if v.state.listAgain(time.Now()) {
+			v.listed = false
+		}
 		watched := v.listed
 		err := v.read(ctx)
 		var expired *store.ExpiredError
@@ -96,11 +101,12 @@
 		if err != nil {
 			return err
 		}
-		v.state.applyList(page)
+		v.state.applyList(time.Now(), page)
 		v.listed, v.position = true, page.Position()
 		events.EvacuationsRead.Log(v.Logger, slog.Int("count", len(page.Objects)), slog.Uint64("revision", page.Revision),
 			slog.Uint64("era", page.Era))
 		v.publish(ctx)
+		v.logHeld()
 		return nil
 	}
 	page, err := v.Store.Watch(ctx, v.Kind, v.position, evacuationWatchTimeout)
@@ -117,6 +123,14 @@
 	return nil
 }
 
+// logHeld logs the evacuations that stay in force although a store that has returned from an older copy lacks them.
+func (v *Evacuations) logHeld() {
+	for _, name := range slices.Sorted(maps.Keys(v.state.held)) {
+		events.EvacuationHeld.Log(v.Logger, slog.String("dataCentre", name), slog.Uint64("era", v.state.listed.Era),
+			slog.Int64("ageMs", evacuationHold.Milliseconds()))
+	}
+}
+
 // publish makes the instance's facts agree with what was read from the store.
 func (v *Evacuations) publish(ctx context.Context) {
 	v.Gossip.Do(ctx, func(now time.Time) {
@@ -129,7 +143,7 @@
 			}
 			all = append(all, f)
 			events.EvacuationPublished.Log(v.Logger, slog.String("dataCentre", e.DataCentre), slog.Bool("active", e.Active),
-				slog.Uint64("revision", e.Revision))
+				slog.Uint64("revision", e.Revision), slog.Uint64("era", e.Era))
 		}
 		v.Gossip.Accept(now, all)
 		v.Gossip.MarkEvacuationsKnown()
@@ -155,7 +169,7 @@
 		if e.Active {
 			event, value = events.EvacuationBegan, 1.0
 		}
-		event.Log(v.Logger, slog.String("dataCentre", e.DataCentre), slog.Uint64("revision", e.Revision))
+		event.Log(v.Logger, slog.String("dataCentre", e.DataCentre), slog.Uint64("revision", e.Revision), slog.Uint64("era", e.Era))
 		metrics.GetOrCreateGauge("coltsfootline_evacuated{dataCentre="+strconv.Quote(e.DataCentre)+"}", nil).Set(value)
 	}
 }
--- a/kernel/control/evacuations_test.go
+++ b/kernel/control/evacuations_test.go
@@ -17,6 +17,9 @@
 	require.Less(t, evacuationWatchTimeout+store.WatchMargin+minRetryDelay+1500*time.Millisecond+spread, bound)
 }
 
+// begin is the time at which the tests of this file begin.
+var begin = time.Unix(1_700_000_000, 0)
+
 func object(name string, revision uint64, deleted bool) store.Object {
 	return store.Object{Name: name, Revision: revision, Deleted: deleted}
 }
@@ -31,7 +34,7 @@
 
 func TestEvacuationIsPlacedAndRemoved(t *testing.T) {
 	var s evacuationState
-	s.applyList(store.Page{Revision: 5})
+	s.applyList(begin, store.Page{Revision: 5})
 	require.Empty(t, s.corrections(nil))
 	s.applyChanges(store.Page{Objects: []store.Object{object("north", 7, false)}})
 	require.Equal(t, []facts.Evacuation{active("north", 7)}, s.corrections(nil))
@@ -55,23 +58,23 @@
 func TestDeletionIsSeenInListingAfterLostHistory(t *testing.T) {
 	known := []facts.Evacuation{active("north", 7)}
 	var reader, other evacuationState
-	reader.applyList(store.Page{Revision: 7, Objects: []store.Object{object("north", 7, false)}})
+	reader.applyList(begin, store.Page{Revision: 7, Objects: []store.Object{object("north", 7, false)}})
 	for _, s := range []*evacuationState{&reader, &other} {
-		s.applyList(store.Page{Revision: 12})
+		s.applyList(begin, store.Page{Revision: 12})
 		require.Equal(t, []facts.Evacuation{ended("north", 12)}, s.corrections(known))
 	}
 	require.Equal(t, []facts.Evacuation{active("north", 20)}, reader.withListing(20, "north").corrections([]facts.Evacuation{ended("north", 12)}))
 }
 
 func (s *evacuationState) withListing(revision uint64, name string) *evacuationState {
-	s.applyList(store.Page{Revision: revision, Objects: []store.Object{object(name, revision, false)}})
+	s.applyList(begin, store.Page{Revision: revision, Objects: []store.Object{object(name, revision, false)}})
 	return s
 }
 
 // Guards against an instance that was cut off while an evacuation ended and brings it back to a fleet that has restarted.
 func TestOlderFactThatArrivesLateIsContradicted(t *testing.T) {
 	var s evacuationState
-	s.applyList(store.Page{Revision: 100})
+	s.applyList(begin, store.Page{Revision: 100})
 	late := []facts.Evacuation{active("north", 50)}
 	require.Equal(t, []facts.Evacuation{ended("north", 100)}, s.corrections(late))
 	require.Empty(t, s.corrections([]facts.Evacuation{active("north", 101)}), "placed after the listing")
@@ -83,7 +86,7 @@
 // Guards against an evacuation that a wrong fact of its end suspends while its object is in the store.
 func TestListedObjectContradictsFactOfEnd(t *testing.T) {
 	var s evacuationState
-	s.applyList(store.Page{Revision: 100, Objects: []store.Object{object("north", 7, false)}})
+	s.applyList(begin, store.Page{Revision: 100, Objects: []store.Object{object("north", 7, false)}})
 	require.Equal(t, []facts.Evacuation{active("north", 100)}, s.corrections([]facts.Evacuation{ended("north", 60)}))
 	require.Empty(t, s.corrections([]facts.Evacuation{ended("north", 101)}), "another reader saw the deletion first")
 }
@@ -101,8 +104,8 @@
 		}
 	}
 	var r1, r2 evacuationState
-	r1.applyList(store.Page{Objects: []store.Object{object(false)}, Revision: 80})
-	r2.applyList(store.Page{Objects: []store.Object{object(false)}, Revision: 60})
+	r1.applyList(begin, store.Page{Objects: []store.Object{object(false)}, Revision: 80})
+	r2.applyList(begin, store.Page{Objects: []store.Object{object(false)}, Revision: 60})
 	correct(&r1)
 	correct(&r2)
 	require.True(t, fact.Active)
@@ -115,8 +118,44 @@
 	for range 3 {
 		correct(&r1)
 		correct(&r2)
-		r1.applyList(store.Page{Revision: 120})
-		r2.applyList(store.Page{Revision: 120})
+		r1.applyList(begin, store.Page{Revision: 120})
+		r2.applyList(begin, store.Page{Revision: 120})
 	}
 	require.False(t, fact.Active, "%+v", fact)
 }
+
+// Guards against flows to evacuated hosts, and against an evacuation without end: the store returns from a copy that lacks an
+// evacuation, which the operator writes again, or does not since it was taken back meanwhile. A reader that knows of it only
+// from peers decides in the same way.
+func TestEvacuationOfEarlierEraIsHeldForAWhile(t *testing.T) {
+	known := []facts.Evacuation{{DataCentre: "north", Active: true, Era: 1, Revision: 90}}
+	var reader, starter evacuationState
+	reader.applyList(begin, store.Page{Era: 1, Revision: 90, Objects: []store.Object{object("north", 90, false)}})
+	for _, s := range []*evacuationState{&reader, &starter} {
+		s.applyList(begin.Add(time.Minute), store.Page{Era: 2, Revision: 95})
+		require.Empty(t, s.corrections(known))
+		require.False(t, s.listAgain(begin.Add(time.Minute+evacuationHold-time.Second)))
+		s.applyList(begin.Add(time.Minute+evacuationHold-time.Second), store.Page{Era: 2, Revision: 96})
+		require.Empty(t, s.corrections(known))
+		late := begin.Add(time.Minute + evacuationHold)
+		require.True(t, s.listAgain(late))
+		s.applyList(late, store.Page{Era: 2, Revision: 97})
+		require.Equal(t, []facts.Evacuation{{DataCentre: "north", Era: 2, Revision: 97}}, s.corrections(known))
+		require.False(t, s.listAgain(late.Add(time.Hour)))
+		s.applyChanges(store.Page{Era: 2, Revision: 98, Objects: []store.Object{object("north", 98, false)}})
+		require.Equal(t, []facts.Evacuation{{DataCentre: "north", Active: true, Era: 2, Revision: 98}}, s.corrections(known))
+	}
+}
+
+// Guards against an evacuation that is ignored since its revision was assigned before, and against an end that is.
+func TestEvacuationOfLaterEraSupersedesGreaterRevision(t *testing.T) {
+	var s evacuationState
+	s.applyList(begin, store.Page{Era: 1, Revision: 98})
+	known := []facts.Evacuation{{DataCentre: "north", Era: 1, Revision: 98}}
+	s.applyList(begin, store.Page{Era: 2, Revision: 20})
+	s.applyChanges(store.Page{Era: 2, Revision: 30, Objects: []store.Object{object("north", 30, false)}})
+	active := facts.Evacuation{DataCentre: "north", Active: true, Era: 2, Revision: 30}
+	require.Equal(t, []facts.Evacuation{active}, s.corrections(known))
+	s.applyChanges(store.Page{Era: 2, Revision: 31, Objects: []store.Object{object("north", 30, true)}})
+	require.Equal(t, []facts.Evacuation{{DataCentre: "north", Era: 2, Revision: 31}}, s.corrections([]facts.Evacuation{active}))
+}
--- a/kernel/events/catalogue.go
+++ b/kernel/events/catalogue.go
@@ -40,6 +40,7 @@
 	EvacuationsKnown    = define(212, "evacuationsKnown", slog.LevelInfo, "evacuations are known for the first time since the start, and an entry may place flows; count: data centres that are or were evacuated")
 	EvacuationsRead     = define(213, "evacuationsRead", slog.LevelInfo, "evacuations listed in the store; count: evacuated data centres")
 	EvacuationPublished = define(214, "evacuationPublished", slog.LevelInfo, "beginning or end of an evacuation that this instance read in the store was passed on to the others")
+	EvacuationHeld      = define(215, "evacuationHeld", slog.LevelWarn, "store has returned from an older copy that lacks an evacuation; it stays in force until the operator changes it, or for ageMs")
 	PlanFetched         = define(220, "planFetched", slog.LevelInfo, "newer plan fetched from a peer; reason: difference, whole or uncompressed (from an older build); count: compressed bytes, ageMs: duration")
 	PlanFetchRefused    = define(221, "planFetchRefused", slog.LevelInfo, "peer sends a newer plan to others at the moment and named other sources; count: sources named, ageMs: time after which to ask it again")
 	PlanDiffRefused     = define(222, "planDiffRefused", slog.LevelWarn, "difference from a peer does not apply to the plan in use; the whole plan is fetched")
--- a/kernel/facts/evacuation.go
+++ b/kernel/facts/evacuation.go
@@ -1,9 +1,12 @@
 package facts
 
-import "encoding/json"
+import (
+	"cmp"
+	"encoding/json"
+)
 
-// KindEvacuation is the kind of facts that say whether a data centre is evacuated. The name is that of the data centre
-// and the version is the store's revision.
+// KindEvacuation is the kind of facts that say whether a data centre is evacuated. The name is that of the data centre, the
+// incarnation is the store's era and the version is its revision.
 const KindEvacuation Kind = "evacuation"
 
 // maxDataCentreLength limits the length of a data centre's name, in bytes. Other programs write to the same store.
@@ -13,8 +16,16 @@
 type Evacuation struct {
 	DataCentre string `json:"dataCentre"`
 	Active     bool   `json:"active"`
-	// Revision is the store's revision at which the evacuation was placed, or by which it was removed.
+	// Revision is the store's revision at which the evacuation was placed, or by which it was removed. It is one of Era,
+	// because a store that returns from an older copy assigns revisions again.
 	Revision uint64 `json:"revision"`
+	Era      uint64 `json:"era,omitempty"`
+}
+
+// Compare returns a negative number if the evacuation was read in the store before the other one, a positive one if it was
+// read after it, and otherwise 0.
+func (e Evacuation) Compare(o Evacuation) int {
+	return cmp.Or(cmp.Compare(e.Era, o.Era), cmp.Compare(e.Revision, o.Revision))
 }
 
 // evacuationBody is the body of an evacuation fact.
@@ -33,7 +44,7 @@
 	if err != nil {
 		return Fact{}, &BodyError{Name: e.DataCentre, Cause: err}
 	}
-	return Fact{Key: Key{Kind: KindEvacuation, Name: e.DataCentre}, Version: e.Revision, Body: string(body)}, nil
+	return Fact{Key: Key{Kind: KindEvacuation, Name: e.DataCentre}, Incarnation: e.Era, Version: e.Revision, Body: string(body)}, nil
 }
 
 // DecodeEvacuation decodes an evacuation fact.
@@ -42,7 +53,7 @@
 	if err := json.Unmarshal([]byte(f.Body), &b); err != nil {
 		return Evacuation{}, &BodyError{Name: f.Name, Cause: err}
 	}
-	return Evacuation{DataCentre: f.Name, Active: b.Active, Revision: f.Version}, nil
+	return Evacuation{DataCentre: f.Name, Active: b.Active, Era: f.Incarnation, Revision: f.Version}, nil
 }
 
 // Evacuations is what an instance knows of all evacuations. With the zero value, no data centre is evacuated.
--- a/kernel/facts/fact.go
+++ b/kernel/facts/fact.go
@@ -28,9 +28,9 @@
 type Fact struct {
 	Key
 	// Incarnation identifies the run of the instance that a member fact describes. Later runs have higher incarnations.
-	// It is 0 for documents.
+	// For what was read in the store it is the store's era, and 0 if the store reports none.
 	Incarnation uint64 `json:"incarnation"`
-	// Version increases with each change within an incarnation. For documents it is the revision of the store object.
+	// Version increases with each change within an incarnation. For what was read in the store it is the revision.
 	Version uint64 `json:"version"`
 	// Body is JSON text. It is a string so that codecs pass it through unchanged and digests are equal on all
 	// instances.
