Instances write their objects again after the store has returned

Seen: in tests, objects of live instances that the store lost stayed missing, up to a minute and without end for those that change nothing; the object of a draining target said ready; objects of hosts that had left were there again. After the next restart of all, hosts are missing or in use that have left. Cause: an acknowledged write or deletion was trusted for good. Change: an object counts as written in one era only. Most instances make no calls, so exchanges carry the era of the store; what a peer reports makes an instance write once, and is passed on only after the store itself confirmed it. The first entry deletes again the objects of instances that have left. Why it works: who sees the next era, by a call or by a peer, makes the store agree with itself, whatever the copy holds; an object has one writer as before.

--- a/kernel/control/collect.go
+++ b/kernel/control/collect.go
@@ -17,9 +17,28 @@
 	collectPeriod = 10 * time.Second
 )
 
-// collectLoop removes stale objects periodically until ctx is cancelled.
+// collectLoop removes stale objects periodically, and those that a return of the store brought back, until ctx is
+// cancelled.
 func (r *Registrar) collectLoop(ctx context.Context) {
-	runPeriodically(ctx, collectPeriod, func(now time.Time) { r.CollectStale(ctx, now) })
+	ticker := time.NewTicker(collectPeriod)
+	defer ticker.Stop()
+	// An instance that left shortly before the return may be known as down first, and as left later.
+	var checkLeftUntil time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			r.CollectStale(ctx, now)
+			if now.Before(checkLeftUntil) {
+				r.deleteLeft(ctx)
+			}
+		case <-r.returned:
+			checkLeftUntil = time.Now().Add(DownRetention)
+			clear(r.removed)
+			r.retry(ctx, r.deleteLeft)
+		}
+	}
 }
 
 // runPeriodically calls f once per period until ctx is cancelled.
--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -89,6 +89,7 @@
 	}
 	n.Registrar = &Registrar{Store: n.Store, Gossip: n.Gossip, Logger: n.Logger, OnRestore: n.OnRestore}
 	n.Registrar.prepare()
+	n.Gossip.Eras = &n.Registrar.returns
 	if n.Self.Role == facts.RoleEntry {
 		n.Auditor = &Auditor{Store: n.Store, Logger: n.Logger, Self: n.Self.Instance, IsWriter: n.isAuditWriter}
 	}
@@ -107,15 +108,13 @@
 	maps.Copy(all, handlers)
 	server := &peer.Server{Address: n.Self.Control, Handlers: all, Logger: n.Logger}
 	n.Plans.prepare()
-	metrics.GetOrCreateGauge("coltsfootline_plan_version", func() float64 { return float64(n.Plans.Version()) })
-	metrics.GetOrCreateGauge("coltsfootline_plan_stored_version", func() float64 { return float64(n.Plans.stored.Load()) })
-	metrics.GetOrCreateGauge("coltsfootline_plan_history_seconds", n.Plans.historySeconds)
-	metrics.GetOrCreateGauge("coltsfootline_members", func() float64 { return float64(len(n.Gossip.View().Members)) })
+	n.registerGauges()
 	n.Gossip.Start(ctx)
 	if err := server.Start(ctx); err != nil {
 		return err
 	}
 	n.Registrar.Start(ctx)
+	go n.runStoreReturns(ctx)
 	n.Plans.Start(ctx)
 	if n.Evacuations != nil {
 		n.Evacuations.Start(ctx)
@@ -128,6 +127,13 @@
 	return nil
 }
 
+func (n *Node) registerGauges() {
+	metrics.GetOrCreateGauge("coltsfootline_plan_version", func() float64 { return float64(n.Plans.Version()) })
+	metrics.GetOrCreateGauge("coltsfootline_plan_stored_version", func() float64 { return float64(n.Plans.stored.Load()) })
+	metrics.GetOrCreateGauge("coltsfootline_plan_history_seconds", n.Plans.historySeconds)
+	metrics.GetOrCreateGauge("coltsfootline_members", func() float64 { return float64(len(n.Gossip.View().Members)) })
+}
+
 // startPlanWriters starts what keeps the copy and the history of the plan in the store up to date.
 func (n *Node) startPlanWriters(ctx context.Context) {
 	c := &planCopyWriter{Store: n.Store, Logger: n.Logger, Plans: n.Plans, IsWriter: n.isAuditWriter}
@@ -155,7 +161,7 @@
 	if p.Provisional {
 		return
 	}
-	n.Gossip.Do(context.Background(), func(now time.Time) { n.Gossip.PushPlanVersion(now) })
+	n.Gossip.Do(context.Background(), func(now time.Time) { n.Gossip.PushVersions(now) })
 	if n.Auditor != nil {
 		n.Auditor.RecordPlan(time.Now(), p)
 	}
--- a/kernel/control/registrar.go
+++ b/kernel/control/registrar.go
@@ -55,7 +55,10 @@
 	OnRestore func(m facts.Member)
 
 	changed chan struct{}
-	health  dependencyHealth
+	// returned is signalled when the store has returned from an older copy.
+	returned chan struct{}
+	returns  storeReturns
+	health   dependencyHealth
 	// downSince maps members that are down or have left to the time when this instance first observed it. removed holds
 	// the members whose objects this instance has removed.
 	downSince map[string]time.Time
@@ -65,6 +68,10 @@
 	// written is what the store holds as far as is known, since writtenAt.
 	written   facts.Fact
 	writtenAt time.Time
+	// era is the store's era in which the object was last read, written or deleted, or 0. answered is the latest era
+	// reported by a peer after which that was done.
+	era      uint64
+	answered uint64
 	// deleted is set once the object was deleted because the target has terminated. stopping is set by Remove.
 	deleted atomic.Bool
 	// listed is set once the members were listed and accepted.
@@ -82,6 +89,8 @@
 // prepare initialises the fields that MarkChanged uses, because the instance may publish its fact before Start.
 func (r *Registrar) prepare() {
 	r.changed = make(chan struct{}, 1)
+	r.returned = make(chan struct{}, 1)
+	r.returns = storeReturns{store: r.Store, onReport: r.MarkChanged}
 	r.removed = make(map[string]bool)
 	r.health = dependencyHealth{name: "storeMembers", logger: r.Logger}
 }
@@ -100,6 +109,15 @@
 	}
 }
 
+// MarkReturned schedules what is due after a return of the store from an older copy. It does not block.
+func (r *Registrar) MarkReturned() {
+	r.MarkChanged()
+	select {
+	case r.returned <- struct{}{}:
+	default:
+	}
+}
+
 // run reads what the store knows, and then writes this instance's fact after each change until ctx is cancelled.
 func (r *Registrar) run(ctx context.Context) {
 	// The read precedes the first write, because it returns what this instance knew of its target before its start.
@@ -119,6 +137,9 @@
 			return
 		case <-r.changed:
 			sleep(ctx, writeCoalesceDelay)
+			if r.mayBeLost() {
+				sleep(ctx, rand.N(rewriteSpread))
+			}
 			if !r.awaitTarget(ctx) || !r.retry(ctx, r.writeSelf) {
 				return
 			}
@@ -168,7 +189,7 @@
 		events.FactRefused.Log(r.Logger, slog.String("object", o.Name), slog.Uint64("revision", o.Revision))
 		return true
 	}
-	r.restoreSelf(f)
+	r.restoreSelf(f, o.Era)
 	return r.Gossip.Do(ctx, func(now time.Time) { r.Gossip.Accept(now, []facts.Fact{f}) })
 }
 
@@ -189,7 +210,7 @@
 			continue
 		}
 		all = append(all, f)
-		r.restoreSelf(f)
+		r.restoreSelf(f, o.Era)
 	}
 	events.MembersRead.Log(r.Logger, slog.Int("members", len(all)), slog.Uint64("revision", page.Revision),
 		slog.Uint64("era", page.Era))
@@ -200,15 +221,16 @@
 	})
 }
 
-// restoreSelf passes the stored fact about this instance to OnRestore. It ignores facts about other members.
-func (r *Registrar) restoreSelf(f facts.Fact) {
+// restoreSelf passes the fact about this instance that was read in an era of the store to OnRestore. It ignores facts about
+// other members.
+func (r *Registrar) restoreSelf(f facts.Fact, era uint64) {
 	if f.Name != r.Gossip.Self.Instance {
 		return
 	}
 	known := r.objectExists
 	r.objectExists = true
 	if !known {
-		r.written, r.writtenAt = f, time.Now()
+		r.written, r.writtenAt, r.era = f, time.Now(), era
 	}
 	if r.OnRestore == nil || known {
 		return
@@ -252,6 +274,21 @@
 	return has
 }
 
+// mayBeLost reports whether the store has returned from an older copy, which this instance or a peer has seen, since the
+// object was read, written or deleted.
+func (r *Registrar) mayBeLost() bool {
+	if r.era == 0 {
+		return false
+	}
+	reported := r.returns.reported.Load()
+	return r.era < r.Store.Era() || r.era < reported && r.answered < reported
+}
+
+// settle records that the object is as it should be in an era, after a peer reported another one.
+func (r *Registrar) settle(era, reported uint64) {
+	r.era, r.answered = era, reported
+}
+
 // writeSelf writes this instance's fact to the store, unless only its incarnation, version or health differ from what the
 // store holds. It removes the object once the target has terminated. It returns false if the call must be repeated.
 func (r *Registrar) writeSelf(ctx context.Context) bool {
@@ -269,16 +306,20 @@
 	if !done || !ok {
 		return ctx.Err() != nil
 	}
+	lost := r.mayBeLost()
 	unchanged := r.objectExists && facts.EqualExceptHealth(f, r.written)
-	if unchanged && now.Sub(r.writtenAt) < rewriteInterval {
+	if unchanged && !lost && now.Sub(r.writtenAt) < rewriteInterval {
 		return true
 	}
 	if gone {
-		return r.deleted.Load() || !r.objectExists || r.delete(ctx, f)
+		return !lost && (r.deleted.Load() || !r.objectExists) || r.delete(ctx, f)
 	}
 	r.deleted.Store(false)
 	reason := "changed"
-	if unchanged {
+	switch {
+	case lost:
+		reason = "storeReturned"
+	case unchanged:
 		reason = "expired"
 	}
 	return r.put(ctx, now, f, reason)
@@ -292,6 +333,7 @@
 		return true
 	}
 	var object store.Object
+	reported := r.returns.reported.Load()
 	if r.objectExists {
 		object, err = r.Store.Put(ctx, KindInstances, f.Name, spec)
 	} else {
@@ -308,6 +350,7 @@
 		return false
 	}
 	r.objectExists, r.written, r.writtenAt = true, f, now
+	r.settle(object.Era, reported)
 	events.OwnObjectWritten.Log(r.Logger, slog.String("reason", reason), slog.Uint64("revision", object.Revision),
 		slog.Uint64("era", object.Era))
 	return true
@@ -316,9 +359,11 @@
 // delete deletes the object of this instance, whose target has terminated according to f. It returns false if the call
 // must be repeated.
 func (r *Registrar) delete(ctx context.Context, f facts.Fact) bool {
+	era, reported := r.Store.Era(), r.returns.reported.Load()
 	err := r.Store.Delete(ctx, KindInstances, f.Name, 0)
 	r.health.observe(err)
 	if err == nil {
+		r.settle(era, reported)
 		r.objectExists, r.written = false, facts.Fact{}
 		r.deleted.Store(true)
 	}
--- a/kernel/peer/gossip.go
+++ b/kernel/peer/gossip.go
@@ -41,6 +41,13 @@
 	ObserveVersion(version uint64, from netip.AddrPort)
 }
 
+// EraTracker returns the latest era of the store that this instance has seen, and receives those that peers have seen. Its
+// methods must not block. Era is called on any goroutine, ObserveEra on the control goroutine.
+type EraTracker interface {
+	Era() uint64
+	ObserveEra(era uint64)
+}
+
 // Gossip replicates facts between instances by gossip and owns this instance's fact set. All access to the set runs on
 // one goroutine, the control goroutine. Set the exported fields before calling Start.
 type Gossip struct {
@@ -66,6 +73,8 @@
 	Period time.Duration
 	// Plan provides the version of the plan in use and receives the versions that peers report. It may be nil.
 	Plan PlanTracker
+	// Eras provides the era of the store and receives the eras that peers report. It may be nil.
+	Eras EraTracker
 
 	set     facts.Set
 	version uint64
@@ -262,7 +271,7 @@
 }
 
 func (g *Gossip) exchangeRequest(now time.Time) ExchangeRequest {
-	r := ExchangeRequest{Instance: g.Self.Instance, Digest: g.set.Digest()}
+	r := ExchangeRequest{Instance: g.Self.Instance, Digest: g.set.Digest(), StoreEra: g.storeEra()}
 	if g.Plan != nil {
 		r.PlanVersion = g.Plan.Version()
 	}
@@ -386,8 +395,23 @@
 	return l
 }
 
-// PushPlanVersion pushes the version of the plan in use to peers without waiting for the next exchange. It must be
-// called on the control goroutine.
-func (g *Gossip) PushPlanVersion(now time.Time) {
+// PushVersions pushes the version of the plan in use and the era of the store to peers without waiting for the next
+// exchange. It must be called on the control goroutine.
+func (g *Gossip) PushVersions(now time.Time) {
 	g.disseminate(now, nil)
 }
+
+// storeEra returns the era of the store that this instance has seen, or 0.
+func (g *Gossip) storeEra() uint64 {
+	if g.Eras == nil {
+		return 0
+	}
+	return g.Eras.Era()
+}
+
+// observeEra passes on the era of the store that a peer has seen.
+func (g *Gossip) observeEra(era uint64) {
+	if g.Eras != nil {
+		g.Eras.ObserveEra(era)
+	}
+}
--- a/kernel/peer/handlers.go
+++ b/kernel/peer/handlers.go
@@ -18,6 +18,8 @@
 			reply.PlanVersion = g.Plan.Version()
 			g.observePlanVersion(r.Instance, r.PlanVersion)
 		}
+		g.observeEra(r.StoreEra)
+		reply.StoreEra = g.storeEra()
 		reply.EvacuationsKnown = g.evacuationsKnown
 		reply.Digest = g.set.Digest()
 		if reply.Digest != r.Digest {
@@ -53,12 +55,13 @@
 	}
 }
 
-// handleSpread accepts the facts and the plan version that a peer pushes.
+// handleSpread accepts the facts, the plan version and the era that a peer pushes.
 func (g *Gossip) handleSpread(ctx context.Context, r SpreadRequest) (SpreadReply, error) {
 	ok := g.Do(ctx, func(now time.Time) {
 		if g.Plan != nil && r.From.IsValid() {
 			g.Plan.ObserveVersion(r.PlanVersion, r.From)
 		}
+		g.observeEra(r.StoreEra)
 		g.Accept(now, r.Facts)
 	})
 	if !ok {
--- a/kernel/peer/link.go
+++ b/kernel/peer/link.go
@@ -104,9 +104,9 @@
 	}
 }
 
-// push sends facts and the version of the plan in use.
+// push sends facts, the version of the plan in use and the era of the store.
 func (l *link) push(ctx context.Context, all []facts.Fact) {
-	request := SpreadRequest{Facts: all, From: l.gossip.Self.Control}
+	request := SpreadRequest{Facts: all, From: l.gossip.Self.Control, StoreEra: l.gossip.storeEra()}
 	if l.gossip.Plan != nil {
 		request.PlanVersion = l.gossip.Plan.Version()
 	}
@@ -126,6 +126,7 @@
 	var summaries []facts.Summary
 	l.gossip.Do(ctx, func(now time.Time) {
 		l.gossip.detector.RecordIndirectContact(reply.ContactAgesMs, now)
+		l.gossip.observeEra(reply.StoreEra)
 		if l.gossip.Plan != nil {
 			l.gossip.Plan.ObserveVersion(reply.PlanVersion, l.address)
 		}
--- a/kernel/peer/messages.go
+++ b/kernel/peer/messages.go
@@ -13,6 +13,8 @@
 	Suspects []string `json:"suspects,omitempty"`
 	// PlanVersion is the version of the plan that the sender uses.
 	PlanVersion uint64 `json:"planVersion,omitempty"`
+	// StoreEra is the latest era of the store that the sender has seen.
+	StoreEra uint64 `json:"storeEra,omitempty"`
 }
 
 // ExchangeReply carries the digest of the responder's fact set, and the digests of its partitions if the sets differ.
@@ -22,6 +24,8 @@
 	PartitionDigests []uint64         `json:"parts,omitempty"`
 	ContactAgesMs    map[string]int64 `json:"heardMs,omitempty"`
 	PlanVersion      uint64           `json:"planVersion,omitempty"`
+	// StoreEra is the latest era of the store that the responder has seen.
+	StoreEra uint64 `json:"storeEra,omitempty"`
 	// EvacuationsKnown is set if the responder's facts contain the evacuations in the store.
 	EvacuationsKnown bool `json:"evacuationsKnown,omitempty"`
 }
@@ -38,10 +42,12 @@
 	Wanted []facts.Key  `json:"wanted,omitempty"`
 }
 
-// SpreadRequest pushes facts that the sender accepted, and the version of the plan that it uses.
+// SpreadRequest pushes facts that the sender accepted, the version of the plan that it uses and the era of the store.
 type SpreadRequest struct {
 	Facts       []facts.Fact `json:"facts,omitempty"`
 	PlanVersion uint64       `json:"planVersion,omitempty"`
+	// StoreEra is the latest era of the store that the sender has seen.
+	StoreEra uint64 `json:"storeEra,omitempty"`
 	// From is the control address of the sender, from which a newer plan can be fetched.
 	From netip.AddrPort `json:"from"`
 }
--- a/kernel/store/store.go
+++ b/kernel/store/store.go
@@ -240,6 +240,13 @@
 	return Page{}, errors.WithStack(&TooManyPagesError{Kind: kind})
 }
 
+// EraEnd returns the latest era that a response reported, or 0 if none did, and a channel that is closed once a later one is
+// reported.
+func (c *Client) EraEnd() (era uint64, ended <-chan struct{}) {
+	e := c.currentEra()
+	return e.number, e.context.Done()
+}
+
 // Watch waits for at most the given time for changes of a kind after a position. After an ExpiredError the caller must
 // list the objects again. A watch ends with this error as soon as another call shows that the store has returned from an
 // older copy.
--- a/rig/store/returned_test.go
+++ b/rig/store/returned_test.go
@@ -216,7 +216,7 @@
 		return ok
 	}
 	eventually(t, "objects", func() bool {
-		return exists("agent") && exists("left") && e.seesServing("agent", "left") && a.seesServing("entry")
+		return exists("agent") && exists("left") && e.seesServing("agent", "left") && a.seesServing("entry") && left.seesServing("entry")
 	})
 	copied := s.server.Snapshot()
 	target.State = facts.TargetGone
