The audit trail is written again after the store has returned

Seen: in a test, the trail lacked the changes that the store had lost. Cause: as for the objects of instances, an acknowledged write was trusted. Change: the writer keeps the trail that it wrote last and merges it again in the next era. Result: TestAuditTrailIsWrittenAgainAfterReturn failed before and passes.

--- a/kernel/control/auditor.go
+++ b/kernel/control/auditor.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +52,10 @@
 	// IsWriter reports whether this instance writes the trail.
 	IsWriter func() bool
 
+	// written is the trail that this instance wrote last, in the store's era writtenEra. Only Flush accesses them.
+	written    audit.Trail
+	writtenEra uint64
+
 	mutex   sync.Mutex
 	pending []audit.Record
 	// dropped counts the records dropped since the last call of Flush. taken counts the pending records that a write in
@@ -145,7 +150,12 @@
 	a.mutex.Lock()
 	records := append([]audit.Record(nil), a.pending...)
 	a.taken = len(records)
+	taken := a.taken
 	a.mutex.Unlock()
+	if a.writtenEra != a.Store.Era() {
+		// The store may have returned from a copy without these records.
+		records = slices.Concat(a.written.Records, records)
+	}
 	if len(records) == 0 {
 		return
 	}
@@ -157,7 +167,7 @@
 	if err == nil {
 		a.pending = a.pending[a.taken:]
 	} else {
-		a.dropped += len(records) - a.taken
+		a.dropped += taken - a.taken
 	}
 	a.taken = 0
 }
@@ -172,39 +182,45 @@
 
 // writeTrail merges records into the stored trail. The write fails if another instance has changed the trail meanwhile.
 func (a *Auditor) writeTrail(ctx context.Context, records []audit.Record) error {
-	trail, revision, err := a.readTrail(ctx)
-	if err != nil || !trail.Merge(records) {
-		return err
-	}
-	text, err := trail.Encode()
+	trail, read, err := a.readTrail(ctx)
 	if err != nil {
-		return errors.WithStack(err)
+		return err
 	}
-	if revision == 0 {
-		_, err = a.Store.Create(ctx, KindAudit, auditTrailName, text)
-	} else {
-		_, err = a.Store.Replace(ctx, KindAudit, auditTrailName, revision, text)
+	if trail.Merge(records) {
+		text, err := trail.Encode()
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		if read.Revision == 0 {
+			read, err = a.Store.Create(ctx, KindAudit, auditTrailName, text)
+		} else {
+			read, err = a.Store.Replace(ctx, KindAudit, auditTrailName, read.Revision, text)
+		}
+		if err != nil {
+			return err
+		}
 	}
-	return err
+	a.written, a.writtenEra = trail, read.Era
+	return nil
 }
 
-// readTrail returns the trail and its revision, or an empty trail and revision 0 if the object does not exist.
-func (a *Auditor) readTrail(ctx context.Context) (audit.Trail, uint64, error) {
+// readTrail returns the trail and its object, or an empty trail and revision 0 if the object does not exist.
+func (a *Auditor) readTrail(ctx context.Context) (audit.Trail, store.Object, error) {
 	var trail audit.Trail
 	o, err := a.Store.Get(ctx, KindAudit, auditTrailName)
 	var missing *store.NotFoundError
 	switch {
 	case errors.As(err, &missing):
-		return trail, 0, nil
+		return trail, store.Object{Era: a.Store.Era()}, nil
 	case err != nil:
-		return trail, 0, err
+		return trail, store.Object{}, err
 	}
 	if err := json.Unmarshal(o.Spec, &trail); err != nil {
 		// The object was written by another program. The next write replaces it.
 		events.FactRefused.Log(a.Logger, slog.String("object", KindAudit+"/"+auditTrailName), events.ErrorAttr(err))
-		return audit.Trail{}, o.Revision, nil
+		return audit.Trail{}, o, nil
 	}
-	return trail, o.Revision, nil
+	return trail, o, nil
 }
 
 // Handlers returns the JSON-RPC handlers of the auditor.
