The plan's copy and history are written again after a return

Cause: both writers trust what they wrote and the revision they know. Change: they forget both when the era rises. The copy waits until the store holds the plan again, since an entry that starts takes a copy that is ahead of the plan for a wrong one. Result: TestCopyAndHistoryAreWrittenAgainAfterReturn and TestCopyIsNotWrittenAheadOfThePlan failed before and pass.

--- a/kernel/control/planCopyWriter.go
+++ b/kernel/control/planCopyWriter.go
@@ -53,6 +53,10 @@
 	stored   plan.Copy
 	revision uint64
 	known    bool
+	// returns detects that the store may have lost the copy. Then unconfirmed is set until the store was seen to hold the plan
+	// that is in use or a later one.
+	returns     returnCheck
+	unconfirmed bool
 	// retryAt is when a failed write may be repeated, and retryDelay is the delay before it.
 	retryAt    time.Time
 	retryDelay time.Duration
@@ -64,6 +68,9 @@
 
 // step writes the copy if that is due at now.
 func (w *planCopyWriter) step(ctx context.Context, now time.Time) {
+	if w.returns.returned(w.Store) {
+		w.known, w.done, w.unconfirmed = false, 0, true
+	}
 	p := w.Plans.Current()
 	if p == nil || !w.isDue(now, p.Version) {
 		return
@@ -124,6 +131,9 @@
 	case w.stored.Version > p.Version || w.stored.Version == p.Version && w.stored.SameFields():
 		return "current", 0, nil
 	}
+	if err := w.confirm(ctx, p.Version); err != nil {
+		return "", 0, err
+	}
 	// A copy of an earlier plan must not remain beside a small one, so it is emptied. It isn't deleted, because a writer that
 	// is behind could then create it again.
 	next := plan.Copy{Version: p.Version}
@@ -135,9 +145,15 @@
 		}
 		next, reason = plan.NewCopy(p.Version, update), "written"
 	}
+	size, err = w.put(ctx, next)
+	return reason, size, err
+}
+
+// put replaces the stored copy and returns the bytes written.
+func (w *planCopyWriter) put(ctx context.Context, next plan.Copy) (size int, err error) {
 	spec, err := json.Marshal(next)
 	if err != nil {
-		return "", 0, errors.WithStack(err)
+		return 0, errors.WithStack(err)
 	}
 	var object store.Object
 	if w.revision == 0 {
@@ -146,10 +162,27 @@
 		object, err = w.Store.Replace(ctx, KindPlanCopy, planCopyName, w.revision, spec)
 	}
 	if err != nil {
-		return "", 0, err
+		return 0, err
 	}
 	w.stored, w.revision = next, object.Revision
-	return reason, len(spec), nil
+	return len(spec), nil
+}
+
+// confirm returns an error if the store has returned from an older copy and lacks the plan of the given version, which the
+// operator has yet to write again. An entry that starts would take a copy of it for a wrong one.
+func (w *planCopyWriter) confirm(ctx context.Context, version uint64) error {
+	if !w.unconfirmed {
+		return nil
+	}
+	stored, err := w.Plans.readStoredVersion(ctx)
+	if err != nil {
+		return err
+	}
+	if stored < version {
+		return errors.WithStack(&PlanBehindError{Stored: stored, Used: version})
+	}
+	w.unconfirmed = false
+	return nil
 }
 
 // read learns the stored copy. One that can't be used counts as version 0 and is replaced.
--- a/kernel/control/planFetch.go
+++ b/kernel/control/planFetch.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -122,6 +123,33 @@
 	p.applyObjects([]store.Object{object}, "storeAfterPeer", true)
 }
 
+// PlanBehindError reports a store that holds an older plan than the one in use.
+type PlanBehindError struct{ Stored, Used uint64 }
+
+// Error implements the error interface.
+func (e *PlanBehindError) Error() string {
+	return "store holds plan " + strconv.FormatUint(e.Stored, 10) + ", but plan " + strconv.FormatUint(e.Used, 10) + " is in use"
+}
+
+// readStoredVersion returns the version of the plan in the store, or 0 if there is none that can be decoded.
+func (p *Plans) readStoredVersion(ctx context.Context) (uint64, error) {
+	kind, name := p.Format.Location()
+	object, err := p.Store.Get(ctx, kind, name)
+	var missing *store.NotFoundError
+	if errors.As(err, &missing) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	decoded, err := p.Format.Decode(object.Spec, &plan.Steps{})
+	if err != nil {
+		events.PlanRefused.Log(p.Logger, slog.Uint64("revision", object.Revision), events.ErrorAttr(err))
+		return 0, nil
+	}
+	return decoded.Version, nil
+}
+
 // fetchFromPeer reads and applies the peer's plan, and records the result for the choice of the next peer.
 func (p *Plans) fetchFromPeer(ctx context.Context, from netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(ctx, downloadTimeout)
--- a/kernel/control/planHistory.go
+++ b/kernel/control/planHistory.go
@@ -30,11 +30,12 @@
 	first uint64
 	// settled is set when the read is over. Before, the object must not be replaced by what this instance alone knows.
 	settled atomic.Bool
-	// found is set if the read had a result: the history stored at revision, which is 0 if there is none. It is valid after
-	// settled, and spares the writer a read.
+	// found is set if the read had a result: the history stored at revision of an era, where the revision is 0 if there is none.
+	// It is valid after settled, and spares the writer a read.
 	found    bool
 	stored   plan.StoredHistory
 	revision uint64
+	era      uint64
 }
 
 // runHistoryRead reads the stored history. It repeats failed reads until the history reaches back without it.
@@ -46,7 +47,7 @@
 		var missing *store.NotFoundError
 		switch {
 		case errors.As(err, &missing):
-			p.history.found = true
+			p.history.found, p.history.era = true, p.Store.Era()
 			p.logHistoryRead(time.Now(), "missing", 0, nil)
 			return
 		case err == nil:
@@ -62,7 +63,7 @@
 // takeHistory adds a stored history to that of the plan in use or, if there is none yet, to that of the first plan.
 func (p *Plans) takeHistory(now time.Time, object store.Object) {
 	stored, err := plan.ParseStoredHistory(object.Spec)
-	p.history.found, p.history.stored, p.history.revision = true, stored, object.Revision
+	p.history.found, p.history.stored, p.history.revision, p.history.era = true, stored, object.Revision, object.Era
 	if err != nil {
 		countHistoryRead("refused")
 		events.PlanHistoryRefused.Log(p.Logger, slog.Uint64("revision", object.Revision), events.ErrorAttr(err))
--- a/kernel/control/planHistoryWriter.go
+++ b/kernel/control/planHistoryWriter.go
@@ -38,6 +38,8 @@
 	stored   plan.StoredHistory
 	revision uint64
 	known    bool
+	// returns detects that the store may have lost the history.
+	returns returnCheck
 	// begun is set once the writer has taken over what the instance read at its start.
 	begun bool
 	// changedAt is when the object was last read or written.
@@ -53,6 +55,9 @@
 
 // step writes the history if that is due at now.
 func (w *planHistoryWriter) step(ctx context.Context, now time.Time) {
+	if w.returns.returned(w.Store) {
+		w.known, w.done = false, nil
+	}
 	p := w.Plans.Current()
 	if p == nil || p.History == nil || !w.Plans.history.settled.Load() || now.Before(w.retryAt) {
 		return
@@ -61,7 +66,8 @@
 		return
 	}
 	if h := &w.Plans.history; !w.begun {
-		w.begun, w.known, w.stored, w.revision, w.changedAt = true, h.found, h.stored, h.revision, now
+		w.begun, w.stored, w.revision, w.changedAt = true, h.stored, h.revision, now
+		w.known = h.found && h.era == w.Store.Era()
 	}
 	if !w.IsWriter() {
 		// Another instance may change the object.
--- a/kernel/control/storeReturn.go
+++ b/kernel/control/storeReturn.go
@@ -58,6 +58,19 @@
 	}
 }
 
+// returnCheck detects returns of the store between the steps of a periodic task. The zero value is ready to use.
+type returnCheck struct {
+	era uint64
+}
+
+// returned reports whether the store has returned from an older copy since the previous call.
+func (c *returnCheck) returned(s *store.Client) bool {
+	latest := s.Era()
+	returned := c.era != 0 && latest != c.era
+	c.era = latest
+	return returned
+}
+
 // deleteLeft deletes the objects that are in the store again, after its return, of instances that have left or whose
 // target had deregistered before they went down. It does nothing unless this instance is the first serving entry. It
 // returns false if the calls must be repeated.
