A return of the store does not contradict the copy of the plan

Seen: in a test, an entry that starts during the return dropped the plan of the copy for the older one that the store had returned with. Cause: the revisions of the copy and of a listing were compared across eras. Change: only a listing of the same era contradicts the copy. Result: TestReturnOfTheStoreDoesNotContradictTheCopy fails without the change (in force: 3, 2 instead of 3) and passes.

--- a/kernel/control/planCopy.go
+++ b/kernel/control/planCopy.go
@@ -25,9 +25,9 @@
 type planCopy struct {
 	// mutex orders the use of the copy and the first plan, so that the copy never replaces a plan.
 	mutex sync.Mutex
-	// used is the plan of the copy, in force until there is a plan. revision is that of its object.
+	// used is the plan of the copy, in force until there is a plan. position is that of its object.
 	used     atomic.Pointer[plan.Plan]
-	revision uint64
+	position store.Position
 	// floor is the lowest version that replaces the copy. 0 if there is none.
 	floor atomic.Uint64
 }
@@ -110,7 +110,7 @@
 		// The plan that a peer has reported may have been acknowledged long ago.
 		return "older", nil
 	}
-	p.copy.revision = object.Revision
+	p.copy.position = store.Position{Era: object.Era, Revision: object.Revision}
 	p.copy.floor.Store(copied.Version)
 	p.copy.used.Store(copied)
 	p.OnPlan(copied)
@@ -150,10 +150,12 @@
 }
 
 // contradictCopy lets the plan of a listing replace a copy of a higher version if the copy was in the store when the
-// listing was made. A copy is written after its plan, so such a copy is wrong, or the store was set back.
+// listing was made. A copy is written after its plan, so such a copy is wrong. A store that has returned from an older copy of
+// its own since the read does not contradict it: the operator writes the plan again.
 func (p *Plans) contradictCopy(page store.Page) {
 	copied := p.copy.used.Load()
-	if copied == nil || p.current.Load() != nil || page.Revision < p.copy.revision {
+	read := p.copy.position
+	if copied == nil || p.current.Load() != nil || page.Era != read.Era || page.Revision < read.Revision {
 		return
 	}
 	_, name := p.Format.Location()
@@ -165,7 +167,7 @@
 		if err != nil || listed.Version == 0 || listed.Version >= copied.Version {
 			continue
 		}
-		p.refuseCopy("newerThanPlan", p.copy.revision, nil)
+		p.refuseCopy("newerThanPlan", read.Revision, nil)
 		p.copy.floor.Store(0)
 		p.applyObjects([]store.Object{o}, "store", true)
 	}
--- a/kernel/control/planCopy_test.go
+++ b/kernel/control/planCopy_test.go
@@ -175,6 +175,15 @@
 	require.True(t, p.Current().History.Since.After(since))
 }
 
+// Guards against a plan that goes back at an entry that starts: between its reads of the copy and of the plan the store returns
+// from a copy of its own, in which the plan is older.
+func TestReturnOfTheStoreDoesNotContradictTheCopy(t *testing.T) {
+	p, inForce := startWithCopy(encodeCopy(t, routesPlan(3, 1), unchanged))
+	p.copy.position.Era = 1
+	p.contradictCopy(store.Page{Era: 2, Revision: 9, Objects: []store.Object{planObject(t, 2, "a")}})
+	require.Equal(t, []uint64{3}, *inForce)
+}
+
 func newCopyWriter(s *copyStore, p *plan.Plan) *planCopyWriter {
 	w := &planCopyWriter{Store: s.client(), Logger: slog.New(slog.DiscardHandler), Plans: newTestPlans(), IsWriter: func() bool { return true }}
 	w.Plans.current.Store(p)
