--- a/rig/store/returned_test.go
+++ b/rig/store/returned_test.go
@@ -67,10 +67,12 @@
 	require.NoError(t, err)
 	require.Equal(t, store.Position{Era: 2, Revision: 3}, after.Position())
 	require.Equal(t, uint64(2), c.Era())
-	response, err := http.Get(s.url + "/objects/other?watch=7&waitMs=10")
-	require.NoError(t, err)
-	require.NoError(t, response.Body.Close())
-	require.Equal(t, http.StatusGone, response.StatusCode)
+	status := 0
+	c.OnCall = func(_ store.Operation, s int) { status = s }
+	_, err = c.Watch(context.Background(), "other", store.Position{Era: 2, Revision: 7}, time.Second)
+	var expired *store.ExpiredError
+	require.True(t, errors.As(err, &expired), "%v", err)
+	require.Equal(t, http.StatusGone, status)
 }
 
 // Guards against a plan that is not in force in time: a return of the store that falls between two watches passes unseen,
