Facts that no instance can have published are refused

Seen: in tests, an object of another writer with the greatest incarnation and version counted as a host, and an instance could not refute one with its own name: one more than the greatest incarnation is 0. Cause: any number that can be decoded was believed. Change: incarnations more than a week ahead, versions above 2^62, unknown roles and states, ports of 0 and impossible numbers of slots are refused with the reason, where objects are read and where peers send facts. Result: the case 'greatest of all numbers' of TestOddObjectsOfOtherWritersAreIgnored and TestInstanceOutlastsForgedObjectWithItsName failed before and pass. The cases 'number too large' and 'port out of range' passed before, too.

--- a/kernel/control/registrar.go
+++ b/kernel/control/registrar.go
@@ -184,9 +184,9 @@
 		r.useSeeds(ctx)
 		return false
 	}
-	f, ok := decodeFact(o)
-	if !ok {
-		events.FactRefused.Log(r.Logger, slog.String("object", o.Name), slog.Uint64("revision", o.Revision))
+	f, err := decodeFact(time.Now(), o)
+	if err != nil {
+		r.refuseObject(o, err)
 		return true
 	}
 	r.restoreSelf(f, o.Era)
@@ -204,9 +204,9 @@
 	}
 	var all []facts.Fact
 	for _, o := range page.Objects {
-		f, ok := decodeFact(o)
-		if !ok {
-			events.FactRefused.Log(r.Logger, slog.String("object", o.Name), slog.Uint64("revision", o.Revision))
+		f, err := decodeFact(time.Now(), o)
+		if err != nil {
+			r.refuseObject(o, err)
 			continue
 		}
 		all = append(all, f)
@@ -240,14 +240,28 @@
 	}
 }
 
-// decodeFact decodes and validates a member fact. Objects written by other programs may hold anything.
-func decodeFact(o store.Object) (facts.Fact, bool) {
+// decodeFact decodes and validates a member fact that was read by now. Objects written by other programs may hold anything.
+func decodeFact(now time.Time, o store.Object) (facts.Fact, error) {
 	var f facts.Fact
-	if err := json.Unmarshal(o.Spec, &f); err != nil || f.Kind != facts.KindMember || f.Name != o.Name {
-		return facts.Fact{}, false
+	if err := json.Unmarshal(o.Spec, &f); err != nil {
+		return f, errors.WithStack(&facts.BodyError{Name: o.Name, Cause: err})
+	}
+	if err := f.Check(now); err != nil {
+		return f, err
 	}
 	m, err := facts.DecodeMember(f)
-	return f, err == nil && m.Instance == f.Name && m.Packets.IsValid() && m.Control.IsValid()
+	if err != nil {
+		return f, err
+	}
+	if f.Kind != facts.KindMember || f.Name != o.Name || m.Instance != o.Name {
+		return f, errors.WithStack(&facts.InvalidMemberError{Instance: o.Name, Field: "name"})
+	}
+	return f, m.Check()
+}
+
+// refuseObject logs an object that is not the one of an instance.
+func (r *Registrar) refuseObject(o store.Object, err error) {
+	events.FactRefused.Log(r.Logger, slog.String("object", o.Name), slog.Uint64("revision", o.Revision), events.ErrorAttr(err))
 }
 
 // awaitTarget waits until an agent that has just started knows its target, but not longer than initialTargetWait. It
--- a/kernel/facts/fact.go
+++ b/kernel/facts/fact.go
@@ -5,8 +5,11 @@
 	"encoding/binary"
 	"slices"
 	"sort"
+	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 )
 
 // Kind is the type of a fact. It determines the format of the body.
@@ -37,6 +40,36 @@
 	Body string `json:"body"`
 }
 
+const (
+	// maxIncarnationAhead is how far a member's incarnation, which is its start by its own clock in Unix nanoseconds, may be
+	// ahead of this instance's clock. Clocks jump by seconds or hours.
+	maxIncarnationAhead = 7 * 24 * time.Hour
+	// maxVersion is far above all versions that an instance or the store reaches, and leaves room for greater ones.
+	maxVersion = 1 << 62
+)
+
+// ImplausibleError reports a fact whose incarnation or version no instance has published: it could never be superseded.
+type ImplausibleError struct {
+	Name        string
+	Incarnation uint64
+	Version     uint64
+}
+
+// Error returns a message with the name, the incarnation and the version.
+func (e *ImplausibleError) Error() string {
+	return "fact " + e.Name + " has the implausible incarnation " + strconv.FormatUint(e.Incarnation, 10) + " or version " +
+		strconv.FormatUint(e.Version, 10)
+}
+
+// Check returns an ImplausibleError if the fact can't have been published by now.
+func (f Fact) Check(now time.Time) error {
+	ahead := f.Kind == KindMember && f.Incarnation > uint64(now.Add(maxIncarnationAhead).UnixNano())
+	if ahead || f.Incarnation > maxVersion || f.Version > maxVersion {
+		return errors.WithStack(&ImplausibleError{Name: f.Name, Incarnation: f.Incarnation, Version: f.Version})
+	}
+	return nil
+}
+
 // Supersedes reports whether f replaces g. If the versions are equal, the greater body wins, so that the result does
 // not depend on the order of arrival.
 func (f Fact) Supersedes(g Fact) bool {
--- a/kernel/facts/member.go
+++ b/kernel/facts/member.go
@@ -3,8 +3,14 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"slices"
+
+	"github.com/cockroachdb/errors"
 )
 
+// maxSlots limits the slots of a target. Announcements have the same limit.
+const maxSlots = 1 << 20
+
 // Role is the program that an instance runs.
 type Role string
 
@@ -65,6 +71,46 @@
 	return Fact{Key: Key{Kind: KindMember, Name: m.Instance}, Incarnation: incarnation, Version: version, Body: string(body)}, nil
 }
 
+// Check returns an InvalidMemberError if the member can't be one that an instance has published, for example because
+// another writer has put its object into the store.
+func (m Member) Check() error {
+	invalid := func(field string) error {
+		return errors.WithStack(&InvalidMemberError{Instance: m.Instance, Field: field})
+	}
+	switch {
+	case m.Role != RoleEntry && m.Role != RoleAgent:
+		return invalid("role")
+	case !slices.Contains([]State{StateServing, StateDraining, StateDown, StateLeft}, m.State):
+		return invalid("state")
+	case !isUsableAddress(m.Packets):
+		return invalid("packets")
+	case !isUsableAddress(m.Control):
+		return invalid("control")
+	case m.Target == nil:
+		return nil
+	case !slices.Contains([]TargetState{TargetReady, TargetDraining, TargetGone}, m.Target.State):
+		return invalid("target.state")
+	case m.Target.Slots < 0 || m.Target.Slots > maxSlots:
+		return invalid("target.slots")
+	}
+	return nil
+}
+
+func isUsableAddress(a netip.AddrPort) bool {
+	return a.IsValid() && a.Port() != 0
+}
+
+// InvalidMemberError reports a member with a field that has an invalid value.
+type InvalidMemberError struct {
+	Instance string
+	Field    string
+}
+
+// Error returns a message with the instance and the field.
+func (e *InvalidMemberError) Error() string {
+	return "member " + e.Instance + " has an invalid " + e.Field
+}
+
 // BodyError reports a fact body that can't be encoded or decoded.
 type BodyError struct {
 	Name  string
--- a/kernel/peer/gossip.go
+++ b/kernel/peer/gossip.go
@@ -216,7 +216,7 @@
 
 // Accept merges facts into the set and forwards the new ones to peers. It must be called on the control goroutine.
 func (g *Gossip) Accept(now time.Time, all []facts.Fact) {
-	accepted := g.set.MergeAll(all)
+	accepted := g.set.MergeAll(g.plausible(now, all))
 	if len(accepted) == 0 {
 		return
 	}
@@ -226,6 +226,17 @@
 	g.refute(now, accepted)
 }
 
+// plausible returns the facts that can have been published by now, and logs the others.
+func (g *Gossip) plausible(now time.Time, all []facts.Fact) []facts.Fact {
+	return slices.DeleteFunc(slices.Clone(all), func(f facts.Fact) bool {
+		err := f.Check(now)
+		if err != nil {
+			events.FactRefused.Log(g.Logger, events.ErrorAttr(err))
+		}
+		return err != nil
+	})
+}
+
 // ExchangeNow starts an exchange with each peer before the next period begins. It must be called on the control
 // goroutine.
 func (g *Gossip) ExchangeNow(ctx context.Context, now time.Time) {
