A listed services document gives way after a return of the store

After a return, newer documents were ignored. Change: the era is the incarnation. What a watch reports counts at once; what is listed within 10 s after the first listing of an era gives way to what instances know, since the store's copy may hold an older document.

--- a/entry/cmd/storeWatcher.go
+++ b/entry/cmd/storeWatcher.go
@@ -29,6 +29,8 @@
 	name   string
 	gossip *peer.Gossip
 	logger *slog.Logger
+
+	order documentOrder
 }
 
 // run polls the store until ctx is done. It lists again if the store no longer has the revision to continue from.
@@ -56,23 +58,29 @@
 func (w *storeWatcher) poll(ctx context.Context, from store.Position) (store.Position, error) {
 	var page store.Page
 	var err error
-	if from == (store.Position{}) {
+	wait := w.order.untilListing(time.Now(), watchWait)
+	list := from == store.Position{} || wait == 0
+	if list {
 		page, err = w.client.List(ctx, services.DocumentKind, false)
 	} else {
-		page, err = w.client.Watch(ctx, services.DocumentKind, from, watchWait)
+		page, err = w.client.Watch(ctx, services.DocumentKind, from, wait)
+	}
+	if err != nil {
+		return from, err
 	}
+	now := time.Now()
+	w.order.observe(now, page, list)
 	for _, o := range page.Objects {
 		if o.Name == w.name && !o.Deleted {
-			w.publish(ctx, o)
+			w.publish(ctx, w.order.fact(now, page, o, list))
 		}
 	}
-	return page.Position(), err
+	return page.Position(), nil
 }
 
-// publish publishes an object to the other instances as a fact.
-func (w *storeWatcher) publish(ctx context.Context, o store.Object) {
-	events.StoreDocument.Log(w.logger, slog.String("object", o.Name), slog.Uint64("version", o.Revision), slog.Uint64("era", o.Era))
-	f := facts.Fact{Key: facts.Key{Kind: facts.KindDocument, Name: o.Name}, Version: o.Revision, Body: string(o.Spec)}
+// publish publishes a revision of the document to the other instances.
+func (w *storeWatcher) publish(ctx context.Context, f facts.Fact) {
+	events.StoreDocument.Log(w.logger, slog.String("object", f.Name), slog.Uint64("version", f.Version), slog.Uint64("era", f.Incarnation))
 	w.gossip.Do(ctx, func(now time.Time) { w.gossip.Accept(now, []facts.Fact{f}) })
 }
 
