The soak plays returns of the store from an older copy

Cause: the soak's store never lost what it had acknowledged. Change: fault storeReturns; the operator repeats its writes and writes again what was lost; at the end each instance's object must be in the store.

--- a/rig/site/evacuation.go
+++ b/rig/site/evacuation.go
@@ -1,7 +1,6 @@
 package site
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -19,14 +18,14 @@
 	s.evacuationMutex.Lock()
 	defer s.evacuationMutex.Unlock()
 	name, kind := dataCentre(r.IntN(2)), platform.PlanFormat{}.EvacuationsKind()
-	if _, err := s.storeClient.Create(context.Background(), kind, name, []byte("{}")); err != nil {
+	if err := s.operator.put(kind, name, []byte("{}")); err != nil {
 		s.Checker.report("evacuation", err.Error())
 		return name + " not placed"
 	}
 	s.Checker.recordEvacuation(time.Now(), name)
 	time.Sleep(evacuationLimit + randomDuration(r))
 	s.Checker.recordEvacuation(time.Time{}, name)
-	if err := s.storeClient.Delete(context.Background(), kind, name, 0); err != nil {
+	if err := s.operator.remove(kind, name); err != nil {
 		s.Checker.report("evacuation", err.Error())
 	}
 	return name
--- a/rig/site/faults.go
+++ b/rig/site/faults.go
@@ -40,6 +40,7 @@
 	{"release", (*Site).replaceTarget},
 	{"plan", (*Site).changePlan},
 	{"evacuate", (*Site).evacuate},
+	{"storeReturns", (*Site).returnStore},
 }
 
 // FaultNames returns the names of all kinds of fault.
--- a/rig/site/site.go
+++ b/rig/site/site.go
@@ -57,12 +57,14 @@
 
 	network     network
 	storeServer rigstore.Server
-	storeClient *store.Client
+	operator    operator
 	nodes       []*node
 	random      *rand.Rand
 
 	// evacuationMutex is held while a data centre is evacuated.
 	evacuationMutex sync.Mutex
+	// returnMutex is held while the store is about to return from a copy.
+	returnMutex sync.Mutex
 
 	planMutex   sync.Mutex
 	planVersion uint64
@@ -123,7 +125,7 @@
 	server := &http.Server{Handler: s.storeServer.Handler(), ReadHeaderTimeout: startTimeout}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	go func() { _ = server.Serve(l) }()
-	s.storeClient, err = store.NewClient("http://"+l.Addr().String(), platform.Form)
+	s.operator.client, err = store.NewClient("http://"+l.Addr().String(), platform.Form)
 	return err
 }
 
@@ -295,7 +297,7 @@
 		return err
 	}
 	kind, name := platform.PlanFormat{}.Location()
-	if _, err = s.storeClient.Put(context.Background(), kind, name, json.RawMessage(text)); err != nil {
+	if err = s.operator.put(kind, name, json.RawMessage(text)); err != nil {
 		return err
 	}
 	s.Checker.recordPlan(time.Now(), p)
--- a/rig/site/soak.go
+++ b/rig/site/soak.go
@@ -67,6 +67,7 @@
 		s.Checker.report("recovery", fmt.Sprintf("requests were not served again within %s after the last fault", recoveryLimit))
 	}
 	if ok {
+		s.checkObjects()
 		s.checkPlanChange()
 	}
 	stopLoad()
