A writer that was cut off reads the plan's copy again before it writes

Seen by reading: an instance that is cut off while the store returns still knows a revision of before, under which the store may hold another copy by now. Its conditional write would replace that by an older one. Cause: a revision was taken as proof of a content across eras; the writer learns the next era only from the answer to that write. Change: after 2 s without an answer of the store the copy is read again. The history is left: its writer merges what it knows itself, and tests bound its reads. Result: TestWriterThatWasCutOffReadsTheCopyAgain fails without the change (two writes) and passes.

--- a/kernel/control/planCopyWriter.go
+++ b/kernel/control/planCopyWriter.go
@@ -80,6 +80,7 @@
 		w.known = false
 		return
 	}
+	w.known = w.known && !mayHaveMissedReturn(now, w.Store)
 	reason, size, err := w.write(ctx, p)
 	if err != nil {
 		// The write may have taken effect.
--- a/kernel/control/planCopy_test.go
+++ b/kernel/control/planCopy_test.go
@@ -228,6 +228,20 @@
 	require.Equal(t, plan.Copy{Version: 9}, c)
 }
 
+// Guards against a copy that an older one replaces: a writer is cut off from the store while that returns and assigns the
+// revision that the writer knows to the copy of another writer.
+func TestWriterThatWasCutOffReadsTheCopyAgain(t *testing.T) {
+	s := &copyStore{}
+	w := newCopyWriter(s, routesPlan(1, minCopyRoutes))
+	now := w.runFor(time.Now(), 2*copyDelay)
+	require.Equal(t, 1, s.writes)
+	s.object.Spec = encodeCopy(t, routesPlan(9, minCopyRoutes), unchanged)
+	w.Plans.current.Store(routesPlan(2, minCopyRoutes))
+	w.runFor(now.Add(time.Minute), 2*copyDelay)
+	require.Equal(t, 1, s.writes)
+	require.Equal(t, 2, s.reads)
+}
+
 // Failure: the store turns writes away. The write must be repeated with growing delays, and only for the latest plan.
 func TestWriteIsRepeatedWithBackoff(t *testing.T) {
 	s := &copyStore{status: http.StatusServiceUnavailable}
--- a/kernel/control/storeReturn.go
+++ b/kernel/control/storeReturn.go
@@ -17,6 +17,11 @@
 // must be there again 2 s after it, and the instances learn of it within a second.
 const rewriteSpread = 500 * time.Millisecond
 
+// returnSilence is the time without an answer of the store after which what is known of an object is read again before a
+// write that depends on its revision: an instance that was cut off while the store returned could replace another object, to
+// which the revision was assigned again.
+const returnSilence = 2 * time.Second
+
 // storeReturns tells this instance's parts and its peers when the store has returned from an older copy. Most instances make
 // no calls while nothing changes, so they learn it from a peer.
 type storeReturns struct {
@@ -71,6 +76,12 @@
 	return returned
 }
 
+// mayHaveMissedReturn reports whether this instance may not know yet, at now, that the store has returned from an older copy.
+// The store is away for a moment before it returns.
+func mayHaveMissedReturn(now time.Time, s *store.Client) bool {
+	return now.Sub(s.LastResponse()) > returnSilence
+}
+
 // deleteLeft deletes the objects that are in the store again, after its return, of instances that have left or whose
 // target had deregistered before they went down. It does nothing unless this instance is the first serving entry. It
 // returns false if the calls must be repeated.
--- a/kernel/store/store.go
+++ b/kernel/store/store.go
@@ -132,7 +132,8 @@
 	// OnReturn is called when a response shows that the store has returned from an older copy. It may be nil.
 	OnReturn func(previous, era uint64)
 
-	era atomic.Pointer[eraScope]
+	era          atomic.Pointer[eraScope]
+	lastResponse atomic.Pointer[time.Time]
 }
 
 // eraScope is an era with a context that is cancelled when a later one begins.
@@ -240,6 +241,14 @@
 	return Page{}, errors.WithStack(&TooManyPagesError{Kind: kind})
 }
 
+// LastResponse returns when the store last answered a call, or the zero time if it never did.
+func (c *Client) LastResponse() time.Time {
+	if at := c.lastResponse.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // EraEnd returns the latest era that a response reported, or 0 if none did, and a channel that is closed once a later one is
 // reported.
 func (c *Client) EraEnd() (era uint64, ended <-chan struct{}) {
@@ -320,6 +329,8 @@
 	if err != nil {
 		return nil, 0, unavailable(call, err)
 	}
+	now := time.Now()
+	c.lastResponse.Store(&now)
 	if era = c.observeEra(response.Header); era < c.Era() {
 		return nil, 0, unavailable(call, &PassedEraError{Era: era, Latest: c.Era()})
 	}
