A call without an answer drops the idle connections to the store

Cause: the listing after a watch without an answer went out over another silent connection and gave up only after 1.5 s. Change: a call without an answer closes idle connections. Why it works: no wait in the path depends on more than one old connection.

--- a/kernel/control/plans.go
+++ b/kernel/control/plans.go
@@ -23,7 +23,7 @@
 	// watchTimeout is how long a watch waits for changes. Each watch is a billed call, which favours long watches. But
 	// a watch misses changes if the store loses its history, so it must end well within the 3 s after which an
 	// acknowledged plan must be in force.
-	watchTimeout = 1800 * time.Millisecond
+	watchTimeout = 1500 * time.Millisecond
 	// watchCheckInterval is how often an instance that does not watch checks whether it should.
 	watchCheckInterval = 100 * time.Millisecond
 	// fetchTimeout limits the read of a newer plan from the store after no peer sent it.
--- a/kernel/store/store.go
+++ b/kernel/store/store.go
@@ -320,6 +320,8 @@
 	}
 	response, err := c.HTTP.Do(request)
 	if err != nil {
+		// Connections may have fallen silent without a reset, usually several at once. The next call opens a new one.
+		c.HTTP.CloseIdleConnections()
 		c.reportCall(call, 0)
 		return nil, 0, unavailable(call, err)
 	}
@@ -327,6 +329,7 @@
 	body, err = io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	c.reportCall(call, response.StatusCode)
 	if err != nil {
+		c.HTTP.CloseIdleConnections()
 		return nil, 0, unavailable(call, err)
 	}
 	now := time.Now()
