Announcements speak for the incarnation that they name

Cause: a message was believed without asking which incarnation it speaks for and whether it is complete.

--- a/agent/cmd/passthrough.go
+++ b/agent/cmd/passthrough.go
@@ -212,6 +212,8 @@
 		a.RecordRefusal(now, "unproven")
 	case result == announce.ResultStale:
 		a.RecordRefusal(now, "late")
+	case result == announce.ResultIncomplete:
+		a.RecordRefusal(now, "incomplete")
 	default:
 		a.RecordRefusal(now, "otherService")
 	}
--- a/kernel/announce/tracker.go
+++ b/kernel/announce/tracker.go
@@ -14,6 +14,9 @@
 	// ResultStale means that the announcement was ignored as out of date: it is from an earlier incarnation or another
 	// target, the target has terminated, or a later announcement of the same incarnation was processed before it.
 	ResultStale Result = iota
+	// ResultIncomplete means that the announcement was ignored because it does not say when its target started, while the
+	// known target did. It may come from another writer.
+	ResultIncomplete
 	// ResultUnproven means that the announcement is from an unknown incarnation with an earlier start than the known one,
 	// which has not shown yet that it runs. Its state was not taken into account.
 	ResultUnproven
@@ -38,8 +41,8 @@
 	heard time.Time
 	// absent is set if the process of the known target was found not to exist.
 	absent bool
-	// deregistered is the ID of a target that deregistered while none was known.
-	deregistered string
+	// deregistered is the incarnation that deregistered while none was known. Its start may be unknown.
+	deregistered incarnation
 	// former holds the incarnations before the known one.
 	former    formerIncarnations
 	candidate candidate
@@ -56,7 +59,7 @@
 	if t.known {
 		return false
 	}
-	if target.ID == t.deregistered {
+	if d := t.deregistered; target.ID == d.id && (d.startedMs == 0 || target.StartedMs <= d.startedMs) {
 		target.State = facts.TargetGone
 	}
 	t.target, t.known, t.sequence = target, true, 0
@@ -103,10 +106,13 @@
 	case !t.known:
 		return ResultChanged
 	case a.Target.SameIncarnation(t.target):
-		if a.Sequence < t.sequence || t.target.State == facts.TargetGone {
+		undrains := t.target.State == facts.TargetDraining && a.Target.State == facts.TargetReady && a.Target.StartedMs != 0
+		if a.Sequence < t.sequence || t.target.State == facts.TargetGone || undrains {
 			return ResultStale
 		}
 		return ResultChanged
+	case a.Target.StartedMs == 0 && t.target.StartedMs != 0:
+		return ResultIncomplete
 	case t.former.contains(incarnationOf(a.Target)):
 		return ResultStale
 	case a.Target.StartedMs >= t.target.StartedMs, t.absent:
@@ -117,16 +123,22 @@
 	return ResultUnproven
 }
 
-// applyGone processes the announcement of a target that terminates. It identifies the target only by its ID and has
-// neither a service, a start time nor a sequence number. If no target is known yet, only its ID is kept, so that Restore
-// does not bring the target back: it may be a target of another agent.
+// applyGone processes the announcement of a target that terminates. It identifies the target by its ID and, usually, its
+// start, and has neither a service nor a sequence number. If no target is known yet, only that is kept, so that Restore
+// does not bring the target back: it may be a target of another agent. One of an earlier incarnation, which arrives late,
+// says nothing about the known one.
 func (t *Tracker) applyGone(now time.Time, a Announcement) (facts.Target, Result) {
+	started := a.Target.StartedMs
 	switch {
 	case !t.known:
-		t.deregistered = a.Target.ID
+		t.deregistered = incarnationOf(a.Target)
 		return t.target, ResultNoted
-	case a.Target.ID != t.target.ID:
+	case a.Target.ID != t.target.ID, started != 0 && started < t.target.StartedMs:
 		return t.target, ResultStale
+	case started > t.target.StartedMs:
+		// The known incarnation has ended before the one that terminates began.
+		t.former = t.former.with(incarnationOf(t.target))
+		t.target.StartedMs = started
 	case t.target.State == facts.TargetGone:
 		return t.target, ResultUnchanged
 	}
--- a/kernel/announce/tracker_test.go
+++ b/kernel/announce/tracker_test.go
@@ -128,3 +128,61 @@
 	target, _ := tracker.Target()
 	require.Equal(t, facts.TargetGone, target.State)
 }
+
+func gone(id string, startedMs int64) Announcement {
+	return Announcement{Target: facts.Target{ID: id, StartedMs: startedMs, State: facts.TargetGone}}
+}
+
+// Guards against flows that are reset, and a host that gets none for good (FLOW, review/6): the deregistration of an earlier
+// incarnation arrives after the next one, under the same ID, has announced itself.
+func TestLateDeregistrationDoesNotEndTheNextIncarnation(t *testing.T) {
+	tracker := Tracker{Service: "s"}
+	tracker.Apply(testStart, newAnnouncement("a", 10, 5, facts.TargetDraining))
+	tracker.Apply(testStart, newAnnouncement("a", 20, 1, facts.TargetReady))
+	target, result := tracker.Apply(testStart, gone("a", 10))
+	require.Equal(t, ResultStale, result)
+	require.Equal(t, facts.TargetReady, target.State)
+	_, result = tracker.Apply(testStart, newAnnouncement("a", 20, 2, facts.TargetReady))
+	require.Equal(t, ResultUnchanged, result)
+	target, result = tracker.Apply(testStart, gone("a", 20))
+	require.Equal(t, ResultChanged, result)
+	require.Equal(t, facts.TargetGone, target.State)
+}
+
+// Guards against a host that seems to live: an incarnation whose announcements the agent missed deregisters.
+func TestDeregistrationOfUnknownLaterIncarnationEndsTheKnownOne(t *testing.T) {
+	tracker := Tracker{Service: "s"}
+	tracker.Apply(testStart, newAnnouncement("a", 10, 5, facts.TargetReady))
+	target, result := tracker.Apply(testStart, gone("a", 20))
+	require.Equal(t, ResultChanged, result)
+	require.Equal(t, facts.TargetGone, target.State)
+	_, result = tracker.Apply(testStart, newAnnouncement("a", 10, 6, facts.TargetReady))
+	require.Equal(t, ResultStale, result)
+	_, result = tracker.Apply(testStart, newAnnouncement("a", 30, 1, facts.TargetReady))
+	require.Equal(t, ResultChanged, result)
+}
+
+// Guards against a deregistration of an earlier incarnation that the store's later one is taken for.
+func TestRestoredIncarnationIsNotEndedByAnEarlierDeregistration(t *testing.T) {
+	tracker := Tracker{Service: "s"}
+	tracker.Apply(testStart, gone("a", 10))
+	require.True(t, tracker.Restore(facts.Target{ID: "a", StartedMs: 20, State: facts.TargetReady}))
+	target, _ := tracker.Target()
+	require.Equal(t, facts.TargetReady, target.State)
+}
+
+// Guards against new flows for a draining target (DRAIN, review/8): announcements of another writer, without the start or with
+// the state ready, change nothing. Only a new incarnation ends the drain.
+func TestDrainOfAnIncarnationGoesOneWay(t *testing.T) {
+	tracker := Tracker{Service: "s"}
+	tracker.Apply(testStart, newAnnouncement("a", 10, 5, facts.TargetDraining))
+	for n, a := range []Announcement{newAnnouncement("a", 10, 9, facts.TargetReady), newAnnouncement("a", 0, 9, facts.TargetReady), newAnnouncement("other", 0, 1, facts.TargetReady)} {
+		target, result := tracker.Apply(testStart.Add(time.Duration(n)*time.Second), a)
+		require.False(t, result.Accepted())
+		require.Equal(t, facts.TargetDraining, target.State)
+	}
+	_, result := tracker.Apply(testStart, newAnnouncement("a", 10, 6, facts.TargetDraining))
+	require.Equal(t, ResultUnchanged, result)
+	_, result = tracker.Apply(testStart, newAnnouncement("a", 20, 1, facts.TargetReady))
+	require.Equal(t, ResultChanged, result)
+}
