A wrong report of the store's era does not hide a right one

Cause: an instance remembered the greatest era that it had answered, so that a wrong, greater report would have kept it from writing its object again. Change: it remembers the report itself.

--- a/kernel/control/registrar.go
+++ b/kernel/control/registrar.go
@@ -68,8 +68,8 @@
 	// written is what the store holds as far as is known, since writtenAt.
 	written   facts.Fact
 	writtenAt time.Time
-	// era is the store's era in which the object was last read, written or deleted, or 0. answered is the latest era
-	// reported by a peer after which that was done.
+	// era is the store's era in which the object was last read, written or deleted, or 0. answered is the era that a peer had
+	// reported when that was done, which may be a wrong one.
 	era      uint64
 	answered uint64
 	// deleted is set once the object was deleted because the target has terminated. stopping is set by Remove.
@@ -295,7 +295,7 @@
 		return false
 	}
 	reported := r.returns.reported.Load()
-	return r.era < r.Store.Era() || r.era < reported && r.answered < reported
+	return r.era < r.Store.Era() || r.era < reported && r.answered != reported
 }
 
 // settle records that the object is as it should be in an era, after a peer reported another one.
--- a/kernel/control/storeReturn.go
+++ b/kernel/control/storeReturn.go
@@ -109,7 +109,7 @@
 			continue
 		}
 		if err == nil {
-			events.ReturnedObjectDeleted.Log(r.Logger, slog.String("member", o.Name), slog.Uint64("revision", o.Revision),
+			events.LeftObjectDeleted.Log(r.Logger, slog.String("member", o.Name), slog.Uint64("revision", o.Revision),
 				slog.Uint64("era", o.Era))
 		}
 	}
