Looking for stale objects no longer races with a change of the state

Change: only the name and the role are read, which never change; both searches for objects of others use one check.

--- a/kernel/control/collect.go
+++ b/kernel/control/collect.go
@@ -60,7 +60,7 @@
 // A member that returns writes its object again.
 func (r *Registrar) CollectStale(ctx context.Context, now time.Time) []string {
 	members := r.Gossip.View().Members
-	if r.Gossip.Self.Role != facts.RoleEntry || !isFirstServingEntry(r.Gossip.Self, members) {
+	if !r.isCollector(members) {
 		return nil
 	}
 	var removed []string
@@ -94,11 +94,17 @@
 	return removed
 }
 
-// isFirstServingEntry reports whether no other serving entry has a lower name than self. That entry writes to the store
+// isCollector reports whether this instance removes the objects of others. Other goroutines change Self, but not the fields
+// that are read here.
+func (r *Registrar) isCollector(members []facts.Member) bool {
+	return r.Gossip.Self.Role == facts.RoleEntry && isFirstServingEntry(r.Gossip.Self.Instance, members)
+}
+
+// isFirstServingEntry reports whether no other serving entry has a lower name than the entry self. That entry writes to the store
 // on behalf of the fleet: it removes stale objects and writes the audit trail.
-func isFirstServingEntry(self facts.Member, members []facts.Member) bool {
+func isFirstServingEntry(self string, members []facts.Member) bool {
 	for _, m := range members {
-		if m.Role == facts.RoleEntry && m.State == facts.StateServing && m.Instance < self.Instance {
+		if m.Role == facts.RoleEntry && m.State == facts.StateServing && m.Instance < self {
 			return false
 		}
 	}
--- a/kernel/control/node.go
+++ b/kernel/control/node.go
@@ -170,7 +170,7 @@
 // isAuditWriter reports whether this instance writes the audit trail.
 func (n *Node) isAuditWriter() bool {
 	members := n.members.Load()
-	return members != nil && isFirstServingEntry(n.Self, *members)
+	return members != nil && isFirstServingEntry(n.Self.Instance, *members)
 }
 
 // shouldWatch reports whether this instance should watch the plan in the store. The watchers of each data centre do,
--- a/kernel/control/storeReturn.go
+++ b/kernel/control/storeReturn.go
@@ -87,7 +87,7 @@
 // returns false if the calls must be repeated.
 func (r *Registrar) deleteLeft(ctx context.Context) bool {
 	members := r.Gossip.View().Members
-	if r.Gossip.Self.Role != facts.RoleEntry || !isFirstServingEntry(r.Gossip.Self, members) {
+	if !r.isCollector(members) {
 		return true
 	}
 	left := make(map[string]bool)
--- a/rig/store/control_test.go
+++ b/rig/store/control_test.go
@@ -385,3 +385,22 @@
 	var unavailable *store.UnavailableError
 	require.True(t, errors.As(err, &unavailable))
 }
+
+// Guards against a data race, which shows with the race detector: an entry changes its state while another goroutine looks for
+// stale objects.
+func TestStateChangesWhileStaleObjectsAreSought(t *testing.T) {
+	s := startStore(t)
+	e := startInstance(t, s, "entry", facts.RoleEntry, freeAddress(t))
+	eventually(t, "member", func() bool { return e.seesServing("entry") })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 50 {
+			e.node.Gossip.Do(context.Background(), func(now time.Time) { e.node.Gossip.SetState(now, facts.StateServing) })
+		}
+	}()
+	for range 50 {
+		require.Empty(t, e.node.Registrar.CollectStale(context.Background(), time.Now()))
+	}
+	<-done
+}
