The soak compares what the store says of each target after the faults

Cause: it only looked whether an object was there, and passed with agents of the build before, which write nothing again. Change: the object of an agent must name its target of now.

--- a/rig/site/storeReturn.go
+++ b/rig/site/storeReturn.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/coltsfootline/coltsfootline/kernel/control"
-	"github.com/coltsfootline/coltsfootline/kernel/store"
+	"github.com/coltsfootline/coltsfootline/kernel/facts"
 )
 
 const (
@@ -43,23 +42,27 @@
 	s.Checker.recordLinkDisruption(time.Now())
 }
 
-// checkObjects checks after the faults that the object of each instance is in the store.
+// checkObjects checks after the faults that the object of each instance is in the store and, for an agent, names its target.
 func (s *Site) checkObjects() {
-	missing := ""
+	wrong := ""
 	for begin := time.Now(); time.Since(begin) < objectLimit; time.Sleep(operatorRetry) {
-		if missing = s.missingObject(); missing == "" {
+		if wrong = s.wrongObject(); wrong == "" {
 			return
 		}
 	}
-	s.Checker.report("object", missing+" is not in the store")
+	s.Checker.report("object", "the store's object of "+wrong+" is missing or out of date")
 }
 
-// missingObject returns the name of an instance without an object, or "" if there is none.
-func (s *Site) missingObject() string {
+// wrongObject returns the name of an instance whose object is missing or out of date, or "" if there is none.
+func (s *Site) wrongObject() string {
 	for _, n := range s.nodes {
-		_, err := s.operator.client.Get(context.Background(), control.KindInstances, n.name)
-		var notFound *store.NotFoundError
-		if errors.As(err, &notFound) {
+		o, err := s.operator.client.Get(context.Background(), control.KindInstances, n.name)
+		var f facts.Fact
+		if err != nil || json.Unmarshal(o.Spec, &f) != nil {
+			return n.name
+		}
+		m, err := facts.DecodeMember(f)
+		if err != nil || n.agentIndex >= 0 && (m.Target == nil || m.Target.ID != s.Targets[n.agentIndex].ID()) {
 			return n.name
 		}
 	}
